--- /dev/null
+++ b/crates/coriandercove_agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent beside each target.
--- /dev/null
+++ b/crates/coriandercove_base/src/lib.rs
@@ -0,0 +1,20 @@
+//! Identifiers, time, derives, telemetry and seeded randomness shared by every part of coriandercove.
+
+mod data;
+pub mod hash;
+pub mod ids;
+pub mod rng;
+pub mod sorted;
+pub mod telemetry;
+pub mod time;
+pub mod timer;
+
+pub use ids::{
+    AccountId, Attempt, ConfigVersion, Fence, Incarnation, Layer, ModelId, NodeId, Position,
+    RequestId, TargetId, TicketId, Token, ZoneId,
+};
+pub use sorted::SortedMap;
+pub use time::{Clock, ManualClock, MonotonicClock, Time};
+
+#[doc(hidden)]
+pub use serde as __serde;
--- /dev/null
+++ b/crates/coriandercove_base/src/telemetry.rs
@@ -0,0 +1,127 @@
+//! Logging and metrics.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use slog::{Drain, Logger, o};
+
+/// Prefix of every metric name.
+const PREFIX: &str = "coriandercove";
+/// Log lines that may wait for the writer before further ones are dropped and counted by slog.
+const LOG_QUEUE_LINES: usize = 4096;
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// A logger that writes to standard error from a thread of its own.
+pub fn logger(format: LogFormat) -> Logger {
+    match format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let drain = slog_term::FullFormat::new(decorator)
+                .use_utc_timestamp()
+                .build()
+                .fuse();
+            background(drain)
+        }
+        LogFormat::Json => background(slog_json::Json::default(std::io::stderr()).fuse()),
+    }
+}
+
+fn background<D>(drain: D) -> Logger
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    let drain = slog_async::Async::new(drain)
+        .chan_size(LOG_QUEUE_LINES)
+        .build()
+        .fuse();
+    Logger::root(drain, o!())
+}
+
+/// A logger that drops every line, for tests and libraries without one.
+pub fn discard() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+/// A counter for each value of one label, such as the reason of a refusal.
+pub type CounterFamily = Family<[(&'static str, String); 1], Counter>;
+
+/// The metrics of one process, by name, encoded for Prometheus on demand.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Arc<Mutex<Registry>>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self {
+            registry: Arc::new(Mutex::new(Registry::with_prefix(PREFIX))),
+        }
+    }
+}
+
+impl Metrics {
+    fn with<R>(&self, f: impl FnOnce(&mut Registry) -> R) -> R {
+        f(&mut self.registry.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Registers a counter. `_total` is appended to its name on output.
+    #[must_use]
+    pub fn counter(&self, name: &str, help: &str) -> Counter {
+        let counter = Counter::default();
+        self.with(|r| r.register(name, help, counter.clone()));
+        counter
+    }
+
+    /// Registers a counter with one label; see [`count`].
+    #[must_use]
+    pub fn counters(&self, name: &str, help: &str) -> CounterFamily {
+        let family = CounterFamily::default();
+        self.with(|r| r.register(name, help, family.clone()));
+        family
+    }
+
+    /// Registers a gauge.
+    #[must_use]
+    pub fn gauge(&self, name: &str, help: &str) -> Gauge {
+        let gauge = Gauge::default();
+        self.with(|r| r.register(name, help, gauge.clone()));
+        gauge
+    }
+
+    /// Registers a histogram of seconds with buckets from 0.5 ms to about 65 s.
+    #[must_use]
+    pub fn seconds(&self, name: &str, help: &str) -> Histogram {
+        let histogram = Histogram::new(exponential_buckets(0.0005, 2.0, 18));
+        self.with(|r| r.register(name, help, histogram.clone()));
+        histogram
+    }
+
+    /// All metrics in the OpenMetrics text format.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut out = String::new();
+        // Writing to a string cannot fail.
+        let _ = self.with(|r| encode(&mut out, r));
+        out
+    }
+}
+
+/// Adds one to the counter whose label `key` is `value`.
+pub fn count(family: &CounterFamily, key: &'static str, value: &str) {
+    family.get_or_create(&[(key, value.to_owned())]).inc();
+}
--- /dev/null
+++ b/crates/coriandercove_caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! The callers' HTTP protocol.
--- /dev/null
+++ b/crates/coriandercove_config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Answers, generated configuration and process settings.
--- /dev/null
+++ b/crates/coriandercove_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry: the front door for callers.
--- /dev/null
+++ b/crates/coriandercove_operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operations endpoint: metrics, health, status and the operators' API.
--- /dev/null
+++ b/crates/coriandercove_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol between coriandercove's own processes.
--- /dev/null
+++ b/crates/coriandercove_platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The platform's object API and VM list.
--- /dev/null
+++ b/crates/coriandercove_policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing, admission, retry and ejection decisions.
--- /dev/null
+++ b/crates/coriandercove_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, engines and plain services.
--- /dev/null
+++ b/crates/coriandercove_standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts the program.
+
+fn main() {}
--- /dev/null
+++ b/crates/coriandercove_state/src/lib.rs
@@ -0,0 +1,1 @@
+//! State machines for claims, configuration, membership, leases and placement.
