Add HTTP clients for engines and plain services

The agents need clients that say whether a failed call may have run. awc reports a connection closed after sending as a connect error, so the client sorts errors itself. KV transfer and cache events join the engine protocol.

--- a/crates/coriandercove_base/src/lib.rs
+++ b/crates/coriandercove_base/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod data;
 pub mod hash;
+#[cfg(feature = "http")]
+pub mod http;
 pub mod ids;
 pub mod rng;
 pub mod sorted;
--- a/crates/coriandercove_target/src/engine.rs
+++ b/crates/coriandercove_target/src/engine.rs
@@ -1,9 +1,12 @@
 //! The engine protocol: JSON over HTTP, one engine for each target VM.
 
+use bytes::Bytes;
 use coriandercove_base::{Attempt, Fence, Layer, ModelId, Position, Token, data};
 use futures_util::future::LocalBoxFuture;
 use snafu::Snafu;
 
+use crate::cache::CacheEvents;
+
 data! {
     /// What an engine holds; answer to `GET /v1/info`.
     #[derive(Eq)]
@@ -40,6 +43,9 @@
         pub kv_tokens: u64,
         /// Time of a recent iteration, in microseconds.
         pub iteration_us: u64,
+        /// Whether the engine is loading weights and refuses forward calls.
+        #[serde(default)]
+        pub loading: bool,
     }
 
     /// Body of `POST /v1/forward`.
@@ -158,6 +164,61 @@
     }
 }
 
+impl EngineInfo {
+    /// Whether the layer range is possible.
+    ///
+    /// # Errors
+    /// A description of the first field that is impossible.
+    pub fn check(&self) -> Result<(), String> {
+        if self.first_layer >= self.end_layer || self.end_layer > self.total_layers {
+            let (first, end, total) = (self.first_layer, self.end_layer, self.total_layers);
+            return Err(format!(
+                "layers {first}..{end} of {total}: not a range of the model"
+            ));
+        }
+        if self.max_batch == 0 {
+            return Err("max_batch 0: must be at least 1".to_owned());
+        }
+        Ok(())
+    }
+}
+
+impl ForwardReply {
+    /// Whether the reply has the right result for each item of `req`.
+    ///
+    /// # Errors
+    /// A description of the first item whose result is missing or belongs to another item.
+    pub fn check(&self, req: &ForwardRequest) -> Result<(), String> {
+        if self.items.len() != req.items.len() {
+            let (got, want) = (self.items.len(), req.items.len());
+            return Err(format!("{got} results for {want} items"));
+        }
+        let mut pairs = req.items.iter().zip(&self.items).enumerate();
+        pairs.try_for_each(|(i, (item, result))| {
+            result.check(item).map_err(|e| format!("items[{i}]: {e}"))
+        })
+    }
+}
+
+impl ForwardResult {
+    fn check(&self, item: &ForwardItem) -> Result<(), String> {
+        if self.seq != item.seq || self.position != item.position {
+            return Err("result of another item".to_owned());
+        }
+        if self.error.is_some() {
+            return Ok(());
+        }
+        if self.outputs.len() != item.inputs.len() {
+            let (got, want) = (self.outputs.len(), item.inputs.len());
+            return Err(format!("{got} outputs for {want} inputs"));
+        }
+        if self.token.is_some() != item.sample {
+            return Err("token missing or not asked for".to_owned());
+        }
+        Ok(())
+    }
+}
+
 /// Failure of a call to an engine.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -224,4 +285,49 @@
     /// # Errors
     /// [`EngineError`] if the engine refused it or did not answer.
     fn order(&self, req: OrderRequest) -> LocalBoxFuture<'static, Result<(), EngineError>>;
+
+    /// The KV state of a sequence, in a format of the engine's own.
+    ///
+    /// # Errors
+    /// [`EngineError`] if the engine does not hold the sequence, cannot export or did not answer.
+    fn export_kv(&self, seq: String) -> LocalBoxFuture<'static, Result<Bytes, EngineError>> {
+        let _ = seq;
+        not_supported("KV export")
+    }
+
+    /// Gives the engine the KV state of a sequence that another engine has exported.
+    ///
+    /// # Errors
+    /// [`EngineError`] if the engine cannot use the state or did not confirm.
+    fn import_kv(
+        &self,
+        seq: String,
+        kv: Bytes,
+    ) -> LocalBoxFuture<'static, Result<(), EngineError>> {
+        let _ = (seq, kv);
+        not_supported("KV import")
+    }
+
+    /// Changes of the prefix cache with a number above `after`.
+    ///
+    /// # Errors
+    /// [`EngineError`] if there was no valid answer.
+    fn cache_events(
+        &self,
+        after: u64,
+    ) -> LocalBoxFuture<'static, Result<CacheEvents, EngineError>> {
+        let _ = after;
+        not_supported("cache events")
+    }
+}
+
+fn not_supported<T: 'static>(what: &str) -> LocalBoxFuture<'static, Result<T, EngineError>> {
+    let message = format!("{what} is not supported");
+    Box::pin(async move {
+        Err(EngineError::Refused {
+            url: String::new(),
+            status: 501,
+            message,
+        })
+    })
 }
--- a/crates/coriandercove_target/src/lib.rs
+++ b/crates/coriandercove_target/src/lib.rs
@@ -1,9 +1,17 @@
 //! The protocols of model engines and plain services.
 
+pub mod cache;
 pub mod engine;
+mod http_engine;
+mod http_service;
 pub mod oracle;
+pub mod service;
 
+pub use cache::{CACHE_BLOCK, CacheChange, CacheEvent, CacheEvents, prefix_hashes};
 pub use engine::{
     Engine, EngineError, EngineInfo, EngineLoad, ForwardItem, ForwardReply, ForwardRequest,
-    ForwardResult, ItemError,
+    ForwardResult, ItemError, Order, OrderRequest,
 };
+pub use http_engine::HttpEngine;
+pub use http_service::HttpService;
+pub use service::{Service, ServiceAnswer, ServiceCall, ServiceError};
