--- /dev/null
+++ b/crates/coriandercove_config/src/config/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the typed configuration.
--- /dev/null
+++ b/crates/coriandercove_config/src/keys/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of account keys.
--- a/crates/coriandercove_config/src/lib.rs
+++ b/crates/coriandercove_config/src/lib.rs
@@ -1,1 +1,16 @@
 //! Answers, generated configuration and process settings.
+
+pub mod config;
+pub mod duration;
+pub mod keys;
+pub mod problem;
+pub mod secret;
+pub mod settings;
+
+pub use config::{
+    Account, Claims, Config, KeyHash, LayerCompute, Limits, Link, Pipeline, Placement, Repeat,
+    Rule, Service, Site, Target, TargetKind, Zone,
+};
+pub use problem::{Problem, Problems};
+pub use secret::Secret;
+pub use settings::{AgentSettings, EntrySettings};
--- /dev/null
+++ b/crates/coriandercove_config/src/problem.rs
@@ -0,0 +1,69 @@
+//! Errors of checked input: place, problem and remedy.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// One error in checked input.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Problem {
+    /// File, flag, environment variable or object that holds the value.
+    pub file: String,
+    /// Line from 1, or 0 if the input has no lines.
+    pub line: usize,
+    /// Path of the key, such as `accounts[2].weight`; empty for the whole input.
+    pub key: String,
+    /// What was wrong.
+    pub problem: String,
+    /// What is allowed; empty if the problem says so already.
+    pub allowed: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.file)?;
+        if self.line > 0 {
+            write!(f, ":{}", self.line)?;
+        }
+        if !self.key.is_empty() {
+            write!(f, ": {}", self.key)?;
+        }
+        write!(f, ": {}", self.problem)?;
+        if !self.allowed.is_empty() {
+            write!(f, " (allowed: {})", self.allowed)?;
+        }
+        Ok(())
+    }
+}
+
+/// All errors of one input, in the order of their places.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
+pub struct Problems(pub Vec<Problem>);
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, problem) in self.0.iter().enumerate() {
+            if i > 0 {
+                f.write_str("\n")?;
+            }
+            problem.fmt(f)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Problems {}
+
+impl Problems {
+    /// `value` if there is no problem, otherwise the problems.
+    ///
+    /// # Errors
+    /// The problems, sorted by place, if there is any.
+    pub fn or<T>(mut self, value: T) -> Result<T, Self> {
+        if self.0.is_empty() {
+            return Ok(value);
+        }
+        self.0.sort();
+        Err(self)
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_config/src/secret.rs
@@ -0,0 +1,50 @@
+//! Secrets that are kept out of logs and serialised forms.
+
+use std::fmt;
+
+use subtle::ConstantTimeEq;
+
+/// Shortest secret accepted, in bytes. Shorter ones can be guessed.
+pub const MIN_SECRET_BYTES: usize = 16;
+
+/// A secret such as the cluster key or the operator token. `Debug` does not show it.
+#[derive(Clone)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Takes the secret without surrounding white space.
+    ///
+    /// # Errors
+    /// A text with the problem and the remedy, if the secret is too short.
+    pub fn new(text: &str) -> Result<Self, String> {
+        let text = text.trim();
+        if text.len() < MIN_SECRET_BYTES {
+            return Err(format!(
+                "the secret has {} bytes; at least {MIN_SECRET_BYTES} are required; \
+                 `coriandercove key new --raw` makes one",
+                text.len()
+            ));
+        }
+        Ok(Self(text.to_owned()))
+    }
+
+    /// The secret itself.
+    #[must_use]
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+
+    /// Compares in time that does not depend on where the values differ.
+    #[must_use]
+    pub fn matches(&self, other: &str) -> bool {
+        let a = blake3::hash(self.0.as_bytes());
+        let b = blake3::hash(other.as_bytes());
+        a.as_bytes().ct_eq(b.as_bytes()).into()
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
