--- /dev/null
+++ b/crates/coriandercove_agent/src/runtime.rs
@@ -0,0 +1,330 @@
+//! The running agent: connects links, stages and the target.
+
+mod handler;
+mod service;
+
+use std::cell::{Cell, OnceCell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use coriandercove_base::telemetry::{CounterFamily, Metrics, count};
+use coriandercove_base::timer::{Subscription, TimerService};
+use coriandercove_base::{Clock, MonotonicClock};
+use coriandercove_peer::link::Shaper;
+use coriandercove_peer::{Address, ClusterKey, Frame, LinkConfig, Links, PeerInfo};
+use coriandercove_target::{Engine, Service};
+use slog::Logger;
+
+use crate::engine::{BatchLimits, EngineDriver};
+use crate::stage::{StageAction, StageLimits, Stages};
+use handler::Handler;
+
+/// How often expired state is forgotten.
+const TICK: Duration = Duration::from_millis(100);
+/// How often a drain checks whether work is left.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time that streams get to move after the drain deadline, before the agent stops.
+const EVICTION_GRACE: Duration = Duration::from_secs(5);
+
+/// The target beside the agent.
+#[derive(Clone)]
+pub enum Backend {
+    /// A model engine.
+    Engine(Rc<dyn Engine>),
+    /// A plain service.
+    Service(Rc<dyn Service>),
+}
+
+/// Settings of an agent; build them with [`AgentConfig::new`] and the `with` methods.
+pub struct AgentConfig {
+    own: PeerInfo,
+    key: ClusterKey,
+    backend: Backend,
+    stages: StageLimits,
+    batch: BatchLimits,
+    /// Calls to the plain service in progress.
+    max_calls: usize,
+    drain_deadline: Duration,
+    shaper: Option<Rc<dyn Shaper>>,
+    log: Logger,
+    metrics: Metrics,
+}
+
+impl AgentConfig {
+    /// Default settings for a process with this identity and target.
+    #[must_use]
+    pub fn new(own: PeerInfo, key: ClusterKey, backend: Backend, log: Logger) -> Self {
+        Self {
+            own,
+            key,
+            backend,
+            stages: StageLimits::default(),
+            batch: BatchLimits {
+                calls: 3,
+                items: 256,
+                timeout: Duration::from_secs(5),
+            },
+            max_calls: 256,
+            drain_deadline: Duration::from_secs(30),
+            shaper: None,
+            log,
+            metrics: Metrics::default(),
+        }
+    }
+
+    /// Sets the limits of streams.
+    #[must_use]
+    pub const fn with_stages(mut self, limits: StageLimits) -> Self {
+        self.stages = limits;
+        self
+    }
+
+    /// Sets the limits of calls to the engine.
+    #[must_use]
+    pub const fn with_batch(mut self, limits: BatchLimits) -> Self {
+        self.batch = limits;
+        self
+    }
+
+    /// Sets how many calls to the plain service may be in progress.
+    #[must_use]
+    pub const fn with_max_calls(mut self, calls: usize) -> Self {
+        self.max_calls = calls;
+        self
+    }
+
+    /// Sets the time that work in flight gets to end when the agent leaves.
+    #[must_use]
+    pub const fn with_drain_deadline(mut self, deadline: Duration) -> Self {
+        self.drain_deadline = deadline;
+        self
+    }
+
+    /// Shapes traffic, for tests and measurements.
+    #[must_use]
+    pub fn with_shaper(mut self, shaper: Rc<dyn Shaper>) -> Self {
+        self.shaper = Some(shaper);
+        self
+    }
+}
+
+/// What the agent keeps while it runs.
+pub(crate) struct Inner {
+    own: PeerInfo,
+    clock: MonotonicClock,
+    log: Logger,
+    stages: RefCell<Stages>,
+    driver: OnceCell<Rc<EngineDriver>>,
+    service: Option<Rc<dyn Service>>,
+    links: OnceCell<Links>,
+    calls: Cell<usize>,
+    max_calls: usize,
+    leaving: Cell<bool>,
+    dropped: CounterFamily,
+    refused: CounterFamily,
+}
+
+/// A running agent.
+pub struct Agent {
+    inner: Rc<Inner>,
+    metrics: Metrics,
+    timers: TimerService,
+    drain_deadline: Duration,
+    _tick: Subscription,
+}
+
+impl Agent {
+    /// Starts an agent on the current runtime thread.
+    ///
+    /// # Errors
+    /// The I/O error if its address cannot be bound.
+    pub async fn start(cfg: AgentConfig) -> std::io::Result<Self> {
+        let AgentConfig {
+            own,
+            key,
+            backend,
+            metrics,
+            log,
+            ..
+        } = cfg;
+        let timers = TimerService::start();
+        let service = match &backend {
+            Backend::Engine(_) => None,
+            Backend::Service(service) => Some(Rc::clone(service)),
+        };
+        let inner = Rc::new(Inner {
+            own: own.clone(),
+            clock: MonotonicClock::default(),
+            log: log.clone(),
+            stages: RefCell::new(Stages::new(cfg.stages)),
+            driver: OnceCell::new(),
+            service,
+            links: OnceCell::new(),
+            calls: Cell::new(0),
+            max_calls: cfg.max_calls,
+            leaving: Cell::new(false),
+            dropped: metrics.counters("frames_dropped", "Frames dropped, by reason"),
+            refused: metrics.counters("refusals", "Calls and streams refused, by reason"),
+        });
+        if let Backend::Engine(engine) = backend {
+            Self::start_driver(&inner, engine, cfg.batch, &metrics);
+        }
+        let mut link_cfg = LinkConfig::new(own, key);
+        if let Some(shaper) = cfg.shaper {
+            link_cfg = link_cfg.with_shaper(shaper);
+        }
+        let handler = Rc::new(Handler::new(&inner));
+        let links = Links::bind(link_cfg, |_| handler, &timers, &metrics, log).await?;
+        // The cell is empty, because nothing else sets it.
+        let _ = inner.links.set(links);
+        let weak = Rc::downgrade(&inner);
+        let tick = timers.subscribe(TICK, move || {
+            if let Some(inner) = weak.upgrade() {
+                inner.stages.borrow_mut().tick(inner.clock.now());
+                inner.flush();
+            }
+        });
+        Ok(Self {
+            inner,
+            metrics,
+            timers,
+            drain_deadline: cfg.drain_deadline,
+            _tick: tick,
+        })
+    }
+
+    fn start_driver(
+        inner: &Rc<Inner>,
+        engine: Rc<dyn Engine>,
+        limits: BatchLimits,
+        metrics: &Metrics,
+    ) {
+        let weak = Rc::downgrade(inner);
+        let on_outcome = Rc::new(move |req, attempt, position, outcome| {
+            if let Some(inner) = weak.upgrade() {
+                inner
+                    .stages
+                    .borrow_mut()
+                    .job_done(req, attempt, position, outcome);
+                inner.flush();
+            }
+        });
+        // The cell is empty, because nothing else sets it.
+        let _ = inner
+            .driver
+            .set(EngineDriver::new(engine, limits, metrics, on_outcome));
+    }
+
+    /// What the agent tells its peers, with the port it listens on.
+    #[must_use]
+    pub fn own(&self) -> PeerInfo {
+        self.inner
+            .links
+            .get()
+            .map_or_else(|| self.inner.own.clone(), |links| links.own().clone())
+    }
+
+    /// The agent's metrics.
+    #[must_use]
+    pub const fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// The timer service of the agent's thread.
+    #[must_use]
+    pub const fn timers(&self) -> &TimerService {
+        &self.timers
+    }
+
+    /// Streams and calls in progress.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.inner.stages.borrow().len() + self.inner.calls.get()
+    }
+
+    /// Refuses new work from now on.
+    pub fn leave(&self) {
+        self.inner.leaving.set(true);
+        self.inner.stages.borrow_mut().leave();
+    }
+
+    /// Leaves, waits until work in flight has ended or moved, and stops.
+    pub async fn drain(self) {
+        self.leave();
+        self.wait_idle(self.drain_deadline).await;
+        self.inner.stages.borrow_mut().evict();
+        self.inner.flush();
+        self.wait_idle(EVICTION_GRACE).await;
+        // A call that must not repeat is never cut; it ends by its own deadline.
+        while self.inner.calls.get() > 0 {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        self.stop();
+    }
+
+    async fn wait_idle(&self, limit: Duration) {
+        let end = tokio::time::Instant::now() + limit;
+        while self.in_progress() > 0 && tokio::time::Instant::now() < end {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+
+    /// Stops at once, as a crash would.
+    pub fn stop(self) {
+        if let Some(links) = self.inner.links.get() {
+            links.close();
+        }
+    }
+}
+
+impl Inner {
+    /// Carries out what the stages have decided.
+    fn flush(&self) {
+        loop {
+            let (actions, dropped) = {
+                let mut stages = self.stages.borrow_mut();
+                (stages.take_actions(), stages.take_dropped())
+            };
+            for reason in dropped {
+                count(&self.dropped, "reason", reason.as_str());
+            }
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.run(action);
+            }
+        }
+    }
+
+    fn run(&self, action: StageAction) {
+        match action {
+            StageAction::Send(to, frame) => {
+                if let Frame::StageFailed(failure) = &frame {
+                    count(&self.refused, "reason", failure.reason.as_str());
+                }
+                self.send(&to, frame);
+            }
+            StageAction::Run(job) => {
+                if let Some(driver) = self.driver.get() {
+                    driver.push(job);
+                }
+            }
+            StageAction::Free(req) => {
+                if let Some(driver) = self.driver.get() {
+                    driver.free(req);
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: &Address, frame: Frame) {
+        let Some(links) = self.links.get() else {
+            return;
+        };
+        let copy = frame.clone();
+        if links.send(to, frame).is_err() {
+            self.stages.borrow_mut().undelivered(to, &copy);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_agent/src/runtime/handler.rs
@@ -0,0 +1,67 @@
+//! Takes frames and link events into the agent.
+
+use std::rc::{Rc, Weak};
+
+use coriandercove_base::telemetry::count;
+use coriandercove_base::{Clock, NodeId};
+use coriandercove_peer::{Address, Frame, LinkHandler, PeerInfo};
+
+use super::Inner;
+
+/// Does not keep the agent alive, because the agent owns the links that own the handler.
+pub struct Handler {
+    agent: Weak<Inner>,
+}
+
+impl Handler {
+    pub fn new(agent: &Rc<Inner>) -> Self {
+        Self {
+            agent: Rc::downgrade(agent),
+        }
+    }
+}
+
+impl LinkHandler for Handler {
+    fn on_frame(&self, from: &PeerInfo, frame: Frame) {
+        let Some(agent) = self.agent.upgrade() else {
+            return;
+        };
+        let now = agent.clock.now();
+        match frame {
+            Frame::OpenStage(open) => agent.open_stage(*open),
+            Frame::Feed(feed) => agent.stages.borrow_mut().feed(feed),
+            Frame::Activation(activation) => agent.stages.borrow_mut().activation(activation),
+            Frame::Credit {
+                req,
+                attempt,
+                up_to,
+            } => {
+                agent.stages.borrow_mut().credit(req, attempt, up_to);
+            }
+            Frame::CancelStage { req, attempt } => {
+                agent.stages.borrow_mut().cancel(now, req, attempt);
+            }
+            Frame::Call(call) => agent.call(from.address(), *call),
+            _ => count(&agent.dropped, "reason", "unexpected"),
+        }
+        agent.flush();
+    }
+
+    fn on_down(&self, node: &NodeId) {
+        let Some(agent) = self.agent.upgrade() else {
+            return;
+        };
+        agent.stages.borrow_mut().link_down(agent.clock.now(), node);
+        agent.flush();
+    }
+
+    fn on_undelivered(&self, to: &Address, frames: Vec<Frame>) {
+        let Some(agent) = self.agent.upgrade() else {
+            return;
+        };
+        for frame in frames {
+            agent.stages.borrow_mut().undelivered(to, &frame);
+        }
+        agent.flush();
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_agent/src/stage.rs
@@ -0,0 +1,469 @@
+//! The stages that this agent runs: which inputs are accepted, what the engine runs next and
+//! where its outputs go. Pure: events and time in, actions out.
+
+mod stream;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use coriandercove_base::{Attempt, NodeId, Position, RequestId, Time, Token};
+use coriandercove_peer::{
+    Activation, Address, Feed, Frame, OpenStage, StageFailure, StageFailureReason,
+};
+use coriandercove_target::ItemError;
+
+use stream::Stream;
+
+/// How long a cancelled attempt is remembered, so that an `OpenStage` that arrives late by
+/// another path does not open it again.
+const CANCELLED_KEPT: Duration = Duration::from_secs(60);
+
+/// Limits of an agent.
+#[derive(Debug, Clone, Copy)]
+pub struct StageLimits {
+    /// Streams with a stage here.
+    pub max_streams: usize,
+    /// Bytes of outputs retained for the replay to a rebuilt next stage.
+    pub max_retained_bytes: usize,
+    /// Positions of a prompt that enter the engine at a time. Smaller chunks let the next stage
+    /// start earlier, larger ones cost fewer frames.
+    pub prefill_chunk: usize,
+    /// Time after which the streams of an entry whose link closed are freed.
+    pub entry_grace: Duration,
+}
+
+impl Default for StageLimits {
+    fn default() -> Self {
+        Self {
+            max_streams: 4096,
+            max_retained_bytes: 64 << 20,
+            prefill_chunk: 128,
+            entry_grace: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Work for the engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Job {
+    /// The request.
+    pub req: RequestId,
+    /// The attempt; the engine's epoch.
+    pub attempt: Attempt,
+    /// Position of the first input.
+    pub position: Position,
+    /// Layer that the inputs enter.
+    pub first_layer: u16,
+    /// Inputs.
+    pub inputs: Vec<u64>,
+    /// Lower values run first.
+    pub priority: u8,
+    /// Whether the last position yields a token.
+    pub sample: bool,
+}
+
+/// What the engine made of a [`Job`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum JobOutcome {
+    /// It ran.
+    Done {
+        /// One output for each input.
+        outputs: Vec<u64>,
+        /// The sampled token.
+        token: Option<Token>,
+    },
+    /// The engine refused it.
+    Refused(ItemError),
+    /// The engine cannot be reached or answered nonsense.
+    Failed,
+}
+
+/// What the runtime has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StageAction {
+    /// Send a frame.
+    Send(Address, Frame),
+    /// Give the engine work.
+    Run(Job),
+    /// Free the engine's state for a request.
+    Free(RequestId),
+}
+
+/// Why a frame was dropped; a label of the counter of dropped frames.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Dropped {
+    /// It belongs to an attempt that has been replaced or cancelled.
+    OldAttempt,
+    /// Its position has been accepted already.
+    Duplicate,
+    /// It enters another layer than the stage's first one.
+    WrongLayer,
+    /// Positions before it are missing.
+    Gap,
+    /// No stage is open for it.
+    NoStage,
+    /// The chain is not valid.
+    InvalidChain,
+}
+
+impl Dropped {
+    /// Stable name, used as a label.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::OldAttempt => "old_attempt",
+            Self::Duplicate => "duplicate",
+            Self::WrongLayer => "wrong_layer",
+            Self::Gap => "gap",
+            Self::NoStage => "no_stage",
+            Self::InvalidChain => "invalid_chain",
+        }
+    }
+}
+
+/// All stages of an agent.
+pub struct Stages {
+    limits: StageLimits,
+    streams: HashMap<RequestId, Stream>,
+    /// Highest cancelled attempt of each request, with the time of the cancellation.
+    cancelled: HashMap<RequestId, (Attempt, Time)>,
+    /// Sum over all streams of retained bytes.
+    retained_bytes: usize,
+    /// Entries whose link is down, since when.
+    entries_down: HashMap<NodeId, Time>,
+    leaving: bool,
+    /// Streams opened so far.
+    opened: u64,
+    actions: Vec<StageAction>,
+    dropped: Vec<Dropped>,
+}
+
+impl Stages {
+    /// No stages.
+    #[must_use]
+    pub fn new(limits: StageLimits) -> Self {
+        Self {
+            limits,
+            streams: HashMap::new(),
+            cancelled: HashMap::new(),
+            retained_bytes: 0,
+            entries_down: HashMap::new(),
+            leaving: false,
+            opened: 0,
+            actions: Vec::new(),
+            dropped: Vec::new(),
+        }
+    }
+
+    /// Takes the actions decided since the last call, in order.
+    pub fn take_actions(&mut self) -> Vec<StageAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Takes the reasons of frames dropped since the last call.
+    pub fn take_dropped(&mut self) -> Vec<Dropped> {
+        std::mem::take(&mut self.dropped)
+    }
+
+    /// Streams with a stage here.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Whether no stage is open.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
+    }
+
+    /// Refuses new streams from now on.
+    pub const fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Opens a stage.
+    pub fn open(&mut self, open: OpenStage) {
+        if !open.is_valid() {
+            return self.dropped.push(Dropped::InvalidChain);
+        }
+        self.entries_down.remove(&open.entry.node);
+        let req = open.req;
+        if self
+            .cancelled
+            .get(&req)
+            .is_some_and(|(attempt, _)| *attempt >= open.attempt)
+        {
+            return self.dropped.push(Dropped::OldAttempt);
+        }
+        let existing = self.remove(req);
+        match existing {
+            Some(stream) if stream.attempt() >= open.attempt => {
+                self.insert(req, stream);
+                self.dropped.push(Dropped::OldAttempt);
+            }
+            Some(stream) => self.reopen(stream, open),
+            None => self.open_new(open),
+        }
+    }
+
+    fn open_new(&mut self, open: OpenStage) {
+        let refusal = if self.leaving {
+            Some(StageFailureReason::Leaving)
+        } else if self.streams.len() >= self.limits.max_streams {
+            Some(StageFailureReason::Overloaded)
+        } else if open.chain[usize::from(open.stage)].held > 0 {
+            Some(StageFailureReason::StateLost)
+        } else {
+            None
+        };
+        match refusal {
+            Some(reason) => self.actions.push(failure(&open, open.stage, reason)),
+            None => {
+                self.opened += 1;
+                let stream = Stream::new(open, self.opened, self.limits.prefill_chunk);
+                self.start(stream);
+            }
+        }
+    }
+
+    fn reopen(&mut self, stream: Stream, open: OpenStage) {
+        match stream.reopened(open.clone()) {
+            Ok(stream) => self.start(stream),
+            Err(reason) => {
+                self.actions.push(StageAction::Free(open.req));
+                self.actions.push(failure(&open, open.stage, reason));
+            }
+        }
+    }
+
+    fn start(&mut self, mut stream: Stream) {
+        match stream.start(&mut self.actions) {
+            Ok(()) => self.insert(stream.req(), stream),
+            Err(reason) => {
+                self.actions.push(StageAction::Free(stream.req()));
+                self.actions
+                    .push(failure(stream.open(), stream.open().stage, reason));
+            }
+        }
+    }
+
+    /// Tokens from the entry for the head.
+    pub fn feed(&mut self, feed: Feed) {
+        self.with_stream(feed.req, feed.attempt, |stream, actions| {
+            stream.feed(feed, actions)
+        });
+    }
+
+    /// Inputs from the previous stage, or a sampled token from the last one.
+    pub fn activation(&mut self, activation: Activation) {
+        self.with_stream(activation.req, activation.attempt, |stream, actions| {
+            stream.activation(activation, actions)
+        });
+    }
+
+    /// Lets the head run positions below `up_to`.
+    pub fn credit(&mut self, req: RequestId, attempt: Attempt, up_to: Position) {
+        self.with_stream(req, attempt, |stream, actions| {
+            stream.credit(up_to, actions);
+            Ok(())
+        });
+    }
+
+    /// The engine finished a job.
+    pub fn job_done(
+        &mut self,
+        req: RequestId,
+        attempt: Attempt,
+        position: Position,
+        outcome: JobOutcome,
+    ) {
+        let Some(mut stream) = self.remove(req) else {
+            return;
+        };
+        if stream.attempt() != attempt {
+            return self.insert(req, stream);
+        }
+        let result = match outcome {
+            JobOutcome::Done { outputs, token } => {
+                stream.done(position, &outputs, token, &mut self.actions)
+            }
+            JobOutcome::Refused(error) => Err(refusal_reason(error)),
+            JobOutcome::Failed => Err(StageFailureReason::Engine),
+        };
+        match result {
+            Ok(()) => self.insert(req, stream),
+            Err(reason) => {
+                self.actions.push(StageAction::Free(req));
+                self.actions
+                    .push(failure(stream.open(), stream.open().stage, reason));
+            }
+        }
+        self.drop_retained();
+    }
+
+    /// Frees the stages of an attempt and of earlier ones.
+    pub fn cancel(&mut self, now: Time, req: RequestId, attempt: Attempt) {
+        let remembered = self.cancelled.entry(req).or_insert((attempt, now));
+        remembered.0 = remembered.0.max(attempt);
+        if self
+            .streams
+            .get(&req)
+            .is_some_and(|s| s.attempt() <= attempt)
+        {
+            self.free(req);
+        }
+    }
+
+    /// The link to a node closed. Streams that send to it fail; streams of an entry wait for it
+    /// to come back for a while.
+    pub fn link_down(&mut self, now: Time, node: &NodeId) {
+        let mut owns = false;
+        for stream in self.streams.values() {
+            owns |= stream.open().entry.node == *node;
+            if stream.next_node() == Some(node) {
+                let stage = stream.open().stage + 1;
+                let reason = StageFailureReason::NextStage;
+                self.actions.push(failure(stream.open(), stage, reason));
+            }
+        }
+        if owns {
+            self.entries_down.entry(node.clone()).or_insert(now);
+        }
+    }
+
+    /// A frame to another node never left this process.
+    pub fn undelivered(&mut self, to: &Address, frame: &Frame) {
+        let (req, attempt) = match frame {
+            Frame::Activation(a) => (a.req, a.attempt),
+            Frame::OpenStage(o) => (o.req, o.attempt),
+            _ => return,
+        };
+        let Some(stream) = self.streams.get(&req).filter(|s| s.attempt() == attempt) else {
+            return;
+        };
+        let hop = stream
+            .open()
+            .chain
+            .iter()
+            .position(|hop| hop.agent.node == to.node);
+        let stage = hop.unwrap_or_default() as u16;
+        self.actions
+            .push(failure(stream.open(), stage, StageFailureReason::NextStage));
+    }
+
+    /// Asks the entries to move all streams, because the drain deadline has passed.
+    pub fn evict(&mut self) {
+        for stream in self.streams.values() {
+            let reason = StageFailureReason::Drained;
+            self.actions
+                .push(failure(stream.open(), stream.open().stage, reason));
+        }
+    }
+
+    /// Forgets what has expired.
+    pub fn tick(&mut self, now: Time) {
+        self.cancelled
+            .retain(|_, (_, at)| now.saturating_sub(*at) < CANCELLED_KEPT);
+        let grace = self.limits.entry_grace;
+        let gone: Vec<NodeId> = self
+            .entries_down
+            .iter()
+            .filter(|(_, since)| now.saturating_sub(**since) >= grace)
+            .map(|(node, _)| node.clone())
+            .collect();
+        for node in gone {
+            self.entries_down.remove(&node);
+            let of_entry = |s: &Stream| s.open().entry.node == node;
+            let reqs: Vec<_> = self
+                .streams
+                .values()
+                .filter(|s| of_entry(s))
+                .map(Stream::req)
+                .collect();
+            for req in reqs {
+                self.free(req);
+            }
+        }
+    }
+
+    fn free(&mut self, req: RequestId) {
+        if self.remove(req).is_some() {
+            self.actions.push(StageAction::Free(req));
+        }
+    }
+
+    fn with_stream(
+        &mut self,
+        req: RequestId,
+        attempt: Attempt,
+        f: impl FnOnce(&mut Stream, &mut Vec<StageAction>) -> Result<(), Dropped>,
+    ) {
+        let result = match self.streams.get_mut(&req) {
+            None => Err(Dropped::NoStage),
+            Some(stream) if stream.attempt() > attempt => Err(Dropped::OldAttempt),
+            Some(stream) if stream.attempt() < attempt => Err(Dropped::NoStage),
+            Some(stream) => f(stream, &mut self.actions),
+        };
+        if let Err(dropped) = result {
+            self.dropped.push(dropped);
+        }
+    }
+
+    /// Drops retained outputs, of the oldest requests first, until they fit the limit.
+    /// A request whose outputs are dropped can still be rebuilt by a full prefill.
+    fn drop_retained(&mut self) {
+        if self.retained_bytes <= self.limits.max_retained_bytes {
+            return;
+        }
+        let mut reqs: Vec<_> = self
+            .streams
+            .values()
+            .map(|s| (s.serial(), s.req()))
+            .collect();
+        reqs.sort_unstable();
+        for (_, req) in reqs {
+            if self.retained_bytes <= self.limits.max_retained_bytes {
+                return;
+            }
+            if let Some(stream) = self.streams.get_mut(&req) {
+                self.retained_bytes -= stream.drop_retained();
+            }
+        }
+    }
+
+    fn insert(&mut self, req: RequestId, stream: Stream) {
+        self.retained_bytes += stream.retained_bytes();
+        self.streams.insert(req, stream);
+    }
+
+    fn remove(&mut self, req: RequestId) -> Option<Stream> {
+        let stream = self.streams.remove(&req)?;
+        self.retained_bytes -= stream.retained_bytes();
+        Some(stream)
+    }
+}
+
+const fn refusal_reason(error: ItemError) -> StageFailureReason {
+    match error {
+        ItemError::OutOfMemory => StageFailureReason::OutOfMemory,
+        ItemError::LayerNotHeld => StageFailureReason::LayerNotHeld,
+        ItemError::StaleEpoch
+        | ItemError::PositionGap { .. }
+        | ItemError::PositionRepeat { .. }
+        | ItemError::Cancelled => StageFailureReason::StateLost,
+    }
+}
+
+fn failure(open: &OpenStage, stage: u16, reason: StageFailureReason) -> StageAction {
+    let failure = StageFailure {
+        req: open.req,
+        attempt: open.attempt,
+        stage,
+        reason,
+    };
+    StageAction::Send(open.entry.clone(), Frame::StageFailed(failure))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/coriandercove_agent/src/stage/stream.rs
@@ -0,0 +1,333 @@
+//! One stage of one stream.
+
+use std::collections::VecDeque;
+
+use coriandercove_base::{Attempt, NodeId, Position, RequestId, Token};
+use coriandercove_peer::{Activation, Feed, Frame, Hop, OpenStage, StageFailureReason, TokenFrame};
+use coriandercove_target::oracle::END_OF_SEQUENCE;
+
+use super::{Dropped, Job, StageAction};
+
+/// State of one stage of one stream.
+pub struct Stream {
+    open: OpenStage,
+    /// Order in which streams were opened here.
+    serial: u64,
+    prefill_chunk: usize,
+    /// Next position that is accepted as input. All earlier ones have been accepted once.
+    next_in: Position,
+    /// Next position whose output is expected from the engine; at most `next_in`.
+    next_out: Position,
+    /// Next position that goes to the next stage.
+    next_sent: Position,
+    /// Accepted inputs that the engine has not been given, in order of position.
+    queue: VecDeque<Job>,
+    /// Whether the engine has a job of this attempt. One at a time keeps positions in order.
+    running: bool,
+    /// Positions below this one may run; only the head has a limit.
+    credit: Position,
+    /// Outputs of positions `0..retained.len()`, kept for a rebuilt next stage; `None` once
+    /// dropped for lack of memory, and in the last stage.
+    retained: Option<Vec<u64>>,
+}
+
+impl Stream {
+    /// A stage without any state.
+    pub fn new(open: OpenStage, serial: u64, prefill_chunk: usize) -> Self {
+        let is_last = usize::from(open.stage) + 1 == open.chain.len();
+        Self {
+            serial,
+            prefill_chunk: prefill_chunk.max(1),
+            next_in: 0,
+            next_out: 0,
+            next_sent: 0,
+            queue: VecDeque::new(),
+            running: false,
+            credit: 0,
+            retained: (!is_last).then(Vec::new),
+            open,
+        }
+    }
+
+    /// The stage as a later attempt continues it, with the state that the attempt builds on.
+    pub fn reopened(mut self, open: OpenStage) -> Result<Self, StageFailureReason> {
+        let hop = &open.chain[usize::from(open.stage)];
+        let old = self.hop();
+        let same_layers = (old.first_layer, old.end_layer) == (hop.first_layer, hop.end_layer);
+        if hop.held == 0 {
+            return Ok(Self::new(open, self.serial, self.prefill_chunk));
+        }
+        if !same_layers || self.next_out < hop.held {
+            return Err(StageFailureReason::StateLost);
+        }
+        let held = hop.held;
+        if let Some(retained) = &mut self.retained {
+            retained.truncate(held as usize);
+        }
+        self.next_in = held;
+        self.next_out = held;
+        self.queue.clear();
+        self.running = false;
+        self.credit = 0;
+        self.open = open;
+        Ok(self)
+    }
+
+    /// Opens the next stage and replays what it lacks.
+    pub fn start(&mut self, actions: &mut Vec<StageAction>) -> Result<(), StageFailureReason> {
+        let Some(next) = self.next_hop().cloned() else {
+            return Ok(());
+        };
+        let open = OpenStage {
+            stage: self.open.stage + 1,
+            ..self.open.clone()
+        };
+        actions.push(StageAction::Send(
+            next.agent.clone(),
+            Frame::OpenStage(Box::new(open)),
+        ));
+        self.next_sent = next.held;
+        if next.held < self.next_out {
+            let outputs = self.replay(next.held)?;
+            self.send_next(next.held, &outputs, false, actions);
+        }
+        Ok(())
+    }
+
+    fn replay(&self, from: Position) -> Result<Vec<u64>, StageFailureReason> {
+        let retained = self
+            .retained
+            .as_ref()
+            .ok_or(StageFailureReason::ReplayUnavailable)?;
+        let range = from as usize..self.next_out as usize;
+        retained
+            .get(range)
+            .map(<[u64]>::to_vec)
+            .ok_or(StageFailureReason::ReplayUnavailable)
+    }
+
+    /// Accepts the tokens that the answer continues.
+    pub fn feed(&mut self, feed: Feed, actions: &mut Vec<StageAction>) -> Result<(), Dropped> {
+        if self.open.stage != 0 {
+            return Err(Dropped::WrongLayer);
+        }
+        self.check_position(feed.position)?;
+        let chunks = feed.tokens.chunks(self.prefill_chunk);
+        let last = chunks.len().saturating_sub(1);
+        for (i, chunk) in chunks.enumerate() {
+            let inputs = chunk.iter().map(|t| u64::from(*t)).collect();
+            self.enqueue(inputs, i == last);
+        }
+        self.credit = self.credit.max(self.next_in);
+        self.run_next(actions);
+        Ok(())
+    }
+
+    /// Accepts the output of the previous stage, or the sampled token in the head.
+    pub fn activation(
+        &mut self,
+        activation: Activation,
+        actions: &mut Vec<StageAction>,
+    ) -> Result<(), Dropped> {
+        if activation.next_layer != self.hop().first_layer {
+            return Err(Dropped::WrongLayer);
+        }
+        self.check_position(activation.position)?;
+        if !activation.items.is_empty() {
+            self.enqueue(activation.items, activation.sample);
+            self.run_next(actions);
+        }
+        Ok(())
+    }
+
+    /// Lets positions below `up_to` run.
+    pub fn credit(&mut self, up_to: Position, actions: &mut Vec<StageAction>) {
+        self.credit = self.credit.max(up_to);
+        self.run_next(actions);
+    }
+
+    /// Takes the outputs of the job at `position`.
+    pub fn done(
+        &mut self,
+        position: Position,
+        outputs: &[u64],
+        token: Option<Token>,
+        actions: &mut Vec<StageAction>,
+    ) -> Result<(), StageFailureReason> {
+        let Some(job) = self
+            .queue
+            .pop_front()
+            .filter(|job| self.running && job.position == position)
+        else {
+            return Err(StageFailureReason::Engine);
+        };
+        let expects_token = job.sample && self.is_last();
+        if outputs.len() != job.inputs.len() || token.is_some() != expects_token {
+            return Err(StageFailureReason::Engine);
+        }
+        self.running = false;
+        self.next_out = position + outputs.len() as Position;
+        if let Some(retained) = &mut self.retained {
+            if retained.len() == position as usize {
+                retained.extend_from_slice(outputs);
+            }
+        }
+        match token {
+            Some(token) => self.emit(token, actions),
+            None => self.send_next(position, outputs, job.sample, actions),
+        }
+        self.run_next(actions);
+        Ok(())
+    }
+
+    /// Sends a sampled token to the entry and, unless the answer ends, to the head.
+    fn emit(&mut self, token: Token, actions: &mut Vec<StageAction>) {
+        let position = self.next_out;
+        let finished = token == END_OF_SEQUENCE || position + 1 >= self.open.end_position;
+        let OpenStage { req, attempt, .. } = self.open;
+        let frame = Frame::Token(TokenFrame {
+            req,
+            attempt,
+            position,
+            token,
+            finished,
+        });
+        actions.push(StageAction::Send(self.open.entry.clone(), frame));
+        if finished {
+            return;
+        }
+        let items = vec![u64::from(token)];
+        let step = Activation {
+            req,
+            attempt,
+            position,
+            next_layer: 0,
+            items,
+            sample: true,
+        };
+        if self.open.stage == 0 {
+            // The only stage of its chain; positions follow one another, so nothing is dropped.
+            let _ = self.activation(step, actions);
+        } else {
+            let head = self.open.chain[0].agent.clone();
+            actions.push(StageAction::Send(head, Frame::Activation(step)));
+        }
+    }
+
+    /// Passes on the outputs from `position` that the next stage lacks.
+    fn send_next(
+        &mut self,
+        position: Position,
+        outputs: &[u64],
+        sample: bool,
+        actions: &mut Vec<StageAction>,
+    ) {
+        let Some(next) = self.next_hop() else { return };
+        let skip = self.next_sent.saturating_sub(position) as usize;
+        let Some(items) = outputs.get(skip..).filter(|items| !items.is_empty()) else {
+            return;
+        };
+        let activation = Activation {
+            req: self.open.req,
+            attempt: self.open.attempt,
+            position: position + skip as Position,
+            next_layer: next.first_layer,
+            items: items.to_vec(),
+            sample,
+        };
+        let to = next.agent.clone();
+        self.next_sent = position + outputs.len() as Position;
+        actions.push(StageAction::Send(to, Frame::Activation(activation)));
+    }
+
+    const fn check_position(&self, position: Position) -> Result<(), Dropped> {
+        if position < self.next_in {
+            Err(Dropped::Duplicate)
+        } else if position > self.next_in {
+            Err(Dropped::Gap)
+        } else {
+            Ok(())
+        }
+    }
+
+    fn enqueue(&mut self, inputs: Vec<u64>, sample: bool) {
+        let position = self.next_in;
+        self.next_in += inputs.len() as Position;
+        self.queue.push_back(Job {
+            req: self.open.req,
+            attempt: self.open.attempt,
+            position,
+            first_layer: self.hop().first_layer,
+            inputs,
+            priority: self.open.priority,
+            // In earlier stages the flag travels with the outputs; only the last stage samples.
+            sample,
+        });
+    }
+
+    fn run_next(&mut self, actions: &mut Vec<StageAction>) {
+        if self.running {
+            return;
+        }
+        let limit = if self.open.stage == 0 {
+            self.credit
+        } else {
+            Position::MAX
+        };
+        let Some(job) = self.queue.front().filter(|job| job.position < limit) else {
+            return;
+        };
+        let job = Job {
+            sample: job.sample && self.is_last(),
+            ..job.clone()
+        };
+        self.running = true;
+        actions.push(StageAction::Run(job));
+    }
+
+    /// Drops retained outputs and returns how many bytes that freed.
+    pub fn drop_retained(&mut self) -> usize {
+        let bytes = self.retained_bytes();
+        self.retained = None;
+        bytes
+    }
+
+    pub fn retained_bytes(&self) -> usize {
+        self.retained
+            .as_ref()
+            .map_or(0, |r| r.len() * size_of::<u64>())
+    }
+
+    pub const fn req(&self) -> RequestId {
+        self.open.req
+    }
+
+    pub const fn attempt(&self) -> Attempt {
+        self.open.attempt
+    }
+
+    pub const fn open(&self) -> &OpenStage {
+        &self.open
+    }
+
+    /// Order in which streams were opened here.
+    pub const fn serial(&self) -> u64 {
+        self.serial
+    }
+
+    pub fn next_node(&self) -> Option<&NodeId> {
+        self.next_hop().map(|hop| &hop.agent.node)
+    }
+
+    fn is_last(&self) -> bool {
+        usize::from(self.open.stage) + 1 == self.open.chain.len()
+    }
+
+    fn hop(&self) -> &Hop {
+        &self.open.chain[usize::from(self.open.stage)]
+    }
+
+    fn next_hop(&self) -> Option<&Hop> {
+        self.open.chain.get(usize::from(self.open.stage) + 1)
+    }
+}
--- a/crates/coriandercove_base/src/rng.rs
+++ b/crates/coriandercove_base/src/rng.rs
@@ -22,3 +22,8 @@
 pub fn random_id(rng: &mut impl RngCore) -> u128 {
     (u128::from(rng.next_u64()) << 64) | u128::from(rng.next_u64())
 }
+
+/// A generator for another part, seeded from this one.
+pub fn fork(rng: &mut Rng) -> Rng {
+    Rng::seed_from_u64(rng.next_u64())
+}
--- /dev/null
+++ b/crates/coriandercove_entry/src/http/completion.rs
@@ -0,0 +1,158 @@
+//! Requests for completions.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpMessage, Request, Response};
+use coriandercove_base::Clock;
+use coriandercove_caller::request::parse;
+use coriandercove_caller::{Completion, CompletionKind, NumberTokenizer, Outcome, ResponseWriter};
+use coriandercove_config::Pipeline;
+use tokio::sync::{mpsc, oneshot};
+
+use super::body::{CancelGuard, TokenBody};
+use super::reply::{policy_refusal, refusal};
+use super::server::read_body;
+use super::{Authenticated, DEADLINE_HEADER, REQUEST_ID_HEADER, id_text};
+use crate::core::StreamSpec;
+use crate::runtime::{Inner, Started, Waiter};
+
+/// Serves a request for a completion.
+pub async fn serve(
+    entry: Rc<Inner>,
+    caller: Authenticated,
+    kind: CompletionKind,
+    req: &mut Request,
+) -> Response<BoxBody> {
+    let id = caller.req;
+    let deadline = match deadline(req) {
+        Ok(deadline) => deadline,
+        Err(message) => {
+            return refusal(&entry, id, 400, "bad_header", Outcome::NotRun, &message);
+        }
+    };
+    let body = match read_body(req, entry.max_body).await {
+        Ok(body) => body,
+        Err(e) => return refusal(&entry, id, e.status, e.reason, Outcome::NotRun, &e.message),
+    };
+    let completion = match parse(kind, &body, &NumberTokenizer) {
+        Ok(completion) => completion,
+        Err(e) => {
+            return refusal(
+                &entry,
+                id,
+                400,
+                "bad_request",
+                Outcome::NotRun,
+                &e.to_string(),
+            );
+        }
+    };
+    let view = entry.view();
+    let Some(pipeline) = view
+        .as_ref()
+        .and_then(|v| v.config.pipeline(&completion.model))
+    else {
+        let message = format!("model `{}` is not configured", completion.model);
+        return refusal(&entry, id, 404, "unknown_model", Outcome::NotRun, &message);
+    };
+    let total = completion.prompt.len() as u64 + u64::from(completion.max_tokens);
+    if total > u64::from(pipeline.max_tokens) {
+        let message = format!(
+            "prompt and `max_tokens` add up to {total} tokens; model `{}` allows {}",
+            completion.model, pipeline.max_tokens
+        );
+        return refusal(
+            &entry,
+            id,
+            400,
+            "too_many_tokens",
+            Outcome::NotRun,
+            &message,
+        );
+    }
+    let spec = spec(&entry, &caller, &completion, pipeline, deadline);
+    run(entry, completion, spec).await
+}
+
+fn spec(
+    entry: &Inner,
+    caller: &Authenticated,
+    completion: &Completion,
+    pipeline: &Pipeline,
+    deadline: Option<Duration>,
+) -> StreamSpec {
+    let now = entry.clock.now();
+    let whole = deadline
+        .unwrap_or(pipeline.request_deadline)
+        .min(pipeline.request_deadline);
+    StreamSpec {
+        req: caller.req,
+        account: caller.account.name.clone(),
+        model: completion.model.clone(),
+        prompt: completion.prompt.clone(),
+        max_tokens: completion.max_tokens,
+        priority: caller.account.priority,
+        deadline: now + whole,
+        first_token_deadline: now + whole.min(entry.first_token_limit(pipeline)),
+    }
+}
+
+/// Submits the request and answers when its first token or its refusal is known, so that the
+/// status of the response is right.
+async fn run(entry: Rc<Inner>, completion: Completion, spec: StreamSpec) -> Response<BoxBody> {
+    let id = spec.req;
+    let writer = ResponseWriter::new(completion.kind, id_text(id), completion.model.clone());
+    let (started_tx, started) = oneshot::channel();
+    let (tx, rx) = mpsc::unbounded_channel();
+    let waiter = Waiter::new(
+        writer,
+        completion.stream,
+        completion.prompt.len() as u32,
+        completion.max_tokens,
+        started_tx,
+        tx,
+    );
+    let guard = CancelGuard::new(Rc::clone(&entry), id);
+    entry.submit(spec, waiter);
+    match started.await {
+        Ok(Started::Streaming) => {
+            let body = TokenBody::new(rx, guard);
+            response("text/event-stream", id).body(body).map_into_boxed_body()
+        }
+        Ok(Started::Whole(json)) => response("application/json", id)
+            .body(json)
+            .map_into_boxed_body(),
+        Ok(Started::Refused(reason)) => policy_refusal(&entry, id, &reason, Outcome::NotRun),
+        Err(_) => {
+            let message = "this entry shuts down";
+            refusal(&entry, id, 503, "leaving", Outcome::NotRun, message)
+        }
+    }
+}
+
+fn response(content_type: &'static str, id: u128) -> actix_http::ResponseBuilder {
+    let mut response = Response::build(actix_http::StatusCode::OK);
+    response.insert_header(("content-type", content_type));
+    response.insert_header(("cache-control", "no-store"));
+    response.insert_header((REQUEST_ID_HEADER, id_text(id)));
+    response
+}
+
+/// The time that the caller allows.
+pub fn deadline(req: &Request) -> Result<Option<Duration>, String> {
+    let Some(value) = req.headers().get(DEADLINE_HEADER) else {
+        return Ok(None);
+    };
+    let ms = value
+        .to_str()
+        .ok()
+        .and_then(|v| v.trim().parse::<u64>().ok());
+    let ms = ms.filter(|ms| (1..=3_600_000).contains(ms));
+    ms.map(|ms| Some(Duration::from_millis(ms))).ok_or_else(|| {
+        format!(
+            "header `{DEADLINE_HEADER}`: not a number of milliseconds; 1 to 3600000 are allowed"
+        )
+    })
+}
--- /dev/null
+++ b/crates/coriandercove_entry/src/runtime.rs
@@ -0,0 +1,385 @@
+//! The running entry: connects callers, links and the core.
+
+mod calls;
+mod handler;
+mod waiter;
+
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use coriandercove_base::rng::{self, Rng};
+use coriandercove_base::telemetry::{CounterFamily, Metrics, count};
+use coriandercove_base::timer::{Subscription, TimerService};
+use coriandercove_base::{Clock, ConfigVersion, MonotonicClock, NodeId, RequestId};
+use coriandercove_config::{Config, Pipeline};
+use coriandercove_peer::link::Shaper;
+use coriandercove_peer::{Address, ClusterKey, Frame, LinkConfig, Links, PeerInfo};
+use slog::Logger;
+
+use crate::core::{Core, CoreAction, CoreConfig, StreamSpec};
+use crate::http::CallerServer;
+use crate::http::server_limits;
+use crate::view::ConfigView;
+use calls::Calls;
+use handler::Handler;
+pub(crate) use waiter::{Started, Waiter};
+
+/// How often waiting requests, stalls and deadlines are checked.
+const TICK: Duration = Duration::from_millis(5);
+/// How often a drain checks whether work is left.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Longest wait for a first token, as a multiple of the deadline that the operators aim for.
+const FIRST_TOKEN_LIMIT_FACTOR: u32 = 8;
+
+/// Settings of an entry; build them with [`EntryConfig::new`] and the `with` methods.
+pub struct EntryConfig {
+    own: PeerInfo,
+    key: ClusterKey,
+    callers: SocketAddr,
+    connections: usize,
+    head_timeout: Duration,
+    max_body: usize,
+    credit_tokens: u32,
+    drain_deadline: Duration,
+    seed: Option<u64>,
+    shaper: Option<Rc<dyn Shaper>>,
+    log: Logger,
+    metrics: Metrics,
+}
+
+impl EntryConfig {
+    /// Default settings for a process with this identity that serves callers at `callers`.
+    #[must_use]
+    pub fn new(own: PeerInfo, key: ClusterKey, callers: SocketAddr, log: Logger) -> Self {
+        Self {
+            own,
+            key,
+            callers,
+            connections: 16_384,
+            head_timeout: Duration::from_secs(10),
+            max_body: 4 << 20,
+            credit_tokens: 64,
+            drain_deadline: Duration::from_secs(30),
+            seed: None,
+            shaper: None,
+            log,
+            metrics: Metrics::default(),
+        }
+    }
+
+    /// Sets the limits of the callers' endpoint: connections, bytes of a body, time for a head.
+    #[must_use]
+    pub const fn with_limits(
+        mut self,
+        connections: usize,
+        max_body: usize,
+        head: Duration,
+    ) -> Self {
+        self.connections = connections;
+        self.max_body = max_body;
+        self.head_timeout = head;
+        self
+    }
+
+    /// Sets how many tokens the head may be ahead of a slow caller.
+    #[must_use]
+    pub const fn with_credit(mut self, tokens: u32) -> Self {
+        self.credit_tokens = tokens;
+        self
+    }
+
+    /// Sets the time that requests in flight get to end when the entry leaves.
+    #[must_use]
+    pub const fn with_drain_deadline(mut self, deadline: Duration) -> Self {
+        self.drain_deadline = deadline;
+        self
+    }
+
+    /// Seeds the choices, for tests and measurements.
+    #[must_use]
+    pub const fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = Some(seed);
+        self
+    }
+
+    /// Shapes traffic, for tests and measurements.
+    #[must_use]
+    pub fn with_shaper(mut self, shaper: Rc<dyn Shaper>) -> Self {
+        self.shaper = Some(shaper);
+        self
+    }
+}
+
+/// What the entry keeps while it runs.
+pub(crate) struct Inner {
+    pub clock: MonotonicClock,
+    pub refusals: CounterFamily,
+    pub max_body: usize,
+    log: Logger,
+    retries: CounterFamily,
+    dropped: CounterFamily,
+    core: RefCell<Core>,
+    view: RefCell<Option<Rc<ConfigView>>>,
+    waiters: RefCell<HashMap<RequestId, Waiter>>,
+    calls: Calls,
+    links: OnceCell<Links>,
+    ids: RefCell<Rng>,
+    leaving: Cell<bool>,
+}
+
+/// A running entry.
+pub struct Entry {
+    inner: Rc<Inner>,
+    server: CallerServer,
+    metrics: Metrics,
+    timers: TimerService,
+    drain_deadline: Duration,
+    _tick: Subscription,
+}
+
+impl Entry {
+    /// Starts an entry on the current runtime thread. It refuses requests until
+    /// [`Entry::set_config`].
+    ///
+    /// # Errors
+    /// The I/O error if an address cannot be bound.
+    pub async fn start(cfg: EntryConfig) -> std::io::Result<Self> {
+        let timers = TimerService::start();
+        let metrics = cfg.metrics.clone();
+        let mut choices = cfg.seed.map_or_else(rng::from_os, rng::seeded);
+        let ids = cfg
+            .seed
+            .map_or_else(rng::from_os, |seed| rng::seeded(!seed));
+        // The listener must be bound before the core can tell agents the entry's address.
+        let cell: Rc<OnceCell<Rc<Inner>>> = Rc::default();
+        let mut link_cfg = LinkConfig::new(cfg.own.clone(), cfg.key.clone());
+        if let Some(shaper) = cfg.shaper.clone() {
+            link_cfg = link_cfg.with_shaper(shaper);
+        }
+        let handler = Rc::new(Handler::new(Rc::clone(&cell)));
+        let log = cfg.log.clone();
+        let links = Links::bind(link_cfg, |_| handler, &timers, &metrics, log).await?;
+        let core_cfg = CoreConfig {
+            own: links.own().address(),
+            zone: cfg.own.zone.clone(),
+            credit_tokens: cfg.credit_tokens,
+        };
+        let core = Core::new(core_cfg, rng::fork(&mut choices));
+        let inner = Rc::new(Inner {
+            clock: MonotonicClock::default(),
+            refusals: metrics.counters("refusals", "Requests refused, by reason"),
+            max_body: cfg.max_body,
+            log: cfg.log.clone(),
+            retries: metrics.counters("retries", "Streams and calls tried again, by reason"),
+            dropped: metrics.counters("frames_dropped", "Frames dropped, by reason"),
+            core: RefCell::new(core),
+            view: RefCell::default(),
+            waiters: RefCell::default(),
+            calls: Calls::default(),
+            links: OnceCell::from(links),
+            ids: RefCell::new(ids),
+            leaving: Cell::new(false),
+        });
+        // The cell is empty, because nothing else sets it.
+        let _ = cell.set(Rc::clone(&inner));
+        let limits = server_limits(cfg.connections, cfg.head_timeout);
+        let server = CallerServer::start(cfg.callers, Rc::clone(&inner), limits).await?;
+        let weak = Rc::downgrade(&inner);
+        let tick = timers.subscribe(TICK, move || {
+            if let Some(inner) = weak.upgrade() {
+                inner.core.borrow_mut().tick(inner.clock.now());
+                inner.flush();
+            }
+        });
+        let drain_deadline = cfg.drain_deadline;
+        Ok(Self {
+            inner,
+            server,
+            metrics,
+            timers,
+            drain_deadline,
+            _tick: tick,
+        })
+    }
+
+    /// Address that callers use.
+    #[must_use]
+    pub const fn callers(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// The entry as agents reach it.
+    #[must_use]
+    pub fn address(&self) -> Option<Address> {
+        self.inner.links.get().map(|links| links.own().address())
+    }
+
+    /// The entry's metrics.
+    #[must_use]
+    pub const fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// The timer service of the entry's thread.
+    #[must_use]
+    pub const fn timers(&self) -> &TimerService {
+        &self.timers
+    }
+
+    /// Puts a configuration in force, unless a higher version already is.
+    pub fn set_config(&self, version: ConfigVersion, config: Config) {
+        let current = self
+            .inner
+            .view
+            .borrow()
+            .as_ref()
+            .map_or(0, |view| view.version);
+        if version <= current {
+            return;
+        }
+        self.inner
+            .core
+            .borrow_mut()
+            .set_config(self.inner.clock.now(), &config);
+        *self.inner.view.borrow_mut() = Some(ConfigView::new(version, config));
+        slog::info!(self.inner.log, "configuration in force"; "version" => version);
+    }
+
+    /// Sets the live entries, this one included.
+    pub fn set_entries(&self, entries: &[NodeId]) {
+        self.inner
+            .core
+            .borrow_mut()
+            .set_entries(self.inner.clock.now(), entries);
+    }
+
+    /// Streams and calls in progress.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.inner.waiters.borrow().len() + self.inner.calls.len()
+    }
+
+    /// Accepts no more requests, waits until those in flight have ended, and stops.
+    pub async fn drain(self) {
+        self.inner.leaving.set(true);
+        self.server.stop_accepting();
+        let end = tokio::time::Instant::now() + self.drain_deadline;
+        while self.in_progress() > 0 && tokio::time::Instant::now() < end {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        // The last bytes may still be on their way to the callers.
+        tokio::time::sleep(DRAIN_POLL).await;
+        self.stop();
+    }
+
+    /// Stops at once, as a crash would.
+    pub fn stop(self) {
+        self.server.stop_accepting();
+        if let Some(links) = self.inner.links.get() {
+            links.close();
+        }
+        self.inner.waiters.borrow_mut().clear();
+    }
+}
+
+impl Inner {
+    /// The configuration in force.
+    pub fn view(&self) -> Option<Rc<ConfigView>> {
+        self.view.borrow().clone()
+    }
+
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    pub fn next_request_id(&self) -> RequestId {
+        rng::random_id(&mut *self.ids.borrow_mut())
+    }
+
+    /// Longest time that a request waits for its first token.
+    pub const fn first_token_limit(&self, pipeline: &Pipeline) -> Duration {
+        Duration::from_nanos(
+            pipeline.first_token_deadline.as_nanos() as u64 * FIRST_TOKEN_LIMIT_FACTOR as u64,
+        )
+    }
+
+    pub fn submit(&self, spec: StreamSpec, waiter: Waiter) {
+        self.waiters.borrow_mut().insert(spec.req, waiter);
+        self.core.borrow_mut().submit(self.clock.now(), spec);
+        self.flush();
+    }
+
+    /// The caller closed the connection or has its whole answer.
+    pub fn caller_gone(&self, req: RequestId) {
+        if self.waiters.borrow_mut().remove(&req).is_some() {
+            self.core.borrow_mut().cancel(self.clock.now(), req);
+            self.flush();
+        }
+    }
+
+    pub fn caller_took(&self, req: RequestId, tokens: u32) {
+        self.core.borrow_mut().consumed(req, tokens);
+        self.flush();
+    }
+
+    /// Carries out what the core has decided.
+    fn flush(&self) {
+        loop {
+            let actions = self.core.borrow_mut().take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.run(action);
+            }
+        }
+    }
+
+    fn run(&self, action: CoreAction) {
+        match action {
+            CoreAction::Send(to, frame) => self.send(&to, frame),
+            CoreAction::Retried(reason) => count(&self.retries, "reason", reason),
+            CoreAction::Emit {
+                req,
+                tokens,
+                finished,
+            } => {
+                let mut waiters = self.waiters.borrow_mut();
+                let Some(waiter) = waiters.get_mut(&req) else {
+                    return;
+                };
+                let taken = waiter.emit(&tokens, finished);
+                if finished {
+                    waiters.remove(&req);
+                }
+                drop(waiters);
+                if let Some(taken) = taken {
+                    self.core.borrow_mut().consumed(req, taken);
+                }
+            }
+            CoreAction::Refuse { req, refusal } => {
+                if let Some(waiter) = self.waiters.borrow_mut().remove(&req) {
+                    if waiter.has_started() {
+                        count(&self.refusals, "reason", refusal.reason.as_str());
+                    }
+                    waiter.refuse(req, refusal);
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: &Address, frame: Frame) {
+        let Some(links) = self.links.get() else {
+            return;
+        };
+        let copy = frame.clone();
+        if links.send(to, frame).is_err() {
+            self.core
+                .borrow_mut()
+                .undelivered(self.clock.now(), to, &copy);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_entry/src/runtime/handler.rs
@@ -0,0 +1,62 @@
+//! Takes frames and link events into the entry.
+
+use std::cell::OnceCell;
+use std::rc::Rc;
+
+use coriandercove_base::telemetry::count;
+use coriandercove_base::{Clock, NodeId};
+use coriandercove_peer::{Address, Frame, LinkHandler, PeerInfo};
+
+use super::Inner;
+
+/// Takes frames and link events into the entry.
+pub struct Handler {
+    entry: Rc<OnceCell<Rc<Inner>>>,
+}
+
+impl Handler {
+    pub const fn new(entry: Rc<OnceCell<Rc<Inner>>>) -> Self {
+        Self { entry }
+    }
+}
+
+impl LinkHandler for Handler {
+    fn on_frame(&self, _from: &PeerInfo, frame: Frame) {
+        let Some(entry) = self.entry.get() else {
+            return;
+        };
+        let now = entry.clock.now();
+        match frame {
+            Frame::Token(token) => entry.core.borrow_mut().token(now, &token),
+            Frame::StageFailed(failure) => entry.core.borrow_mut().stage_failed(now, &failure),
+            Frame::CallReply(reply) => entry.calls.reply(*reply),
+            _ => count(&entry.dropped, "reason", "unexpected"),
+        }
+        entry.flush();
+    }
+
+    fn on_down(&self, node: &NodeId) {
+        let Some(entry) = self.entry.get() else {
+            return;
+        };
+        entry.core.borrow_mut().link_down(entry.clock.now(), node);
+        entry.calls.link_down(node);
+        entry.flush();
+    }
+
+    fn on_undelivered(&self, to: &Address, frames: Vec<Frame>) {
+        let Some(entry) = self.entry.get() else {
+            return;
+        };
+        for frame in frames {
+            if let Frame::Call(call) = &frame {
+                entry.calls.not_sent(call.req);
+            }
+            entry
+                .core
+                .borrow_mut()
+                .undelivered(entry.clock.now(), to, &frame);
+        }
+        entry.flush();
+    }
+}
--- a/crates/coriandercove_peer/src/auth.rs
+++ b/crates/coriandercove_peer/src/auth.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 
-use snafu::{Snafu, ensure};
 use subtle::ConstantTimeEq;
 
 /// Bytes of a message authentication code on the wire.
@@ -13,14 +12,6 @@
 /// A message authentication code.
 pub type Mac = [u8; MAC_BYTES];
 
-/// The text of a cluster key is not valid.
-#[derive(Debug, Snafu)]
-#[snafu(display("the cluster key has {length} characters; 64 hexadecimal digits are needed"))]
-pub struct KeyError {
-    /// Characters found, or those before the first one that is not a hexadecimal digit.
-    length: usize,
-}
-
 /// The key that all processes of a deployment share. Never printed.
 #[derive(Clone, PartialEq, Eq)]
 pub struct ClusterKey([u8; KEY_BYTES]);
@@ -38,23 +29,13 @@
         Self(bytes)
     }
 
-    /// Parses 64 hexadecimal digits.
-    ///
-    /// # Errors
-    /// [`KeyError`] if the text has another length or other characters.
-    pub fn from_hex(text: &str) -> Result<Self, KeyError> {
-        let text = text.trim();
-        let digits = text.chars().take_while(char::is_ascii_hexdigit).count();
-        ensure!(
-            text.len() == 2 * KEY_BYTES && digits == text.len(),
-            KeySnafu { length: digits }
-        );
-        let mut bytes = [0; KEY_BYTES];
-        for (byte, pair) in bytes.iter_mut().zip(text.as_bytes().chunks_exact(2)) {
-            let digit = |c: u8| char::from(c).to_digit(16).unwrap_or_default() as u8;
-            *byte = digit(pair[0]) << 4 | digit(pair[1]);
-        }
-        Ok(Self(bytes))
+    /// The key that a secret text stands for.
+    #[must_use]
+    pub fn from_secret(secret: &str) -> Self {
+        Self(blake3::derive_key(
+            "coriandercove 2026 cluster key",
+            secret.as_bytes(),
+        ))
     }
 
     /// Code over `parts`, which are length-prefixed so that they cannot be split differently.
--- a/crates/coriandercove_peer/src/link.rs
+++ b/crates/coriandercove_peer/src/link.rs
@@ -284,15 +284,23 @@
         }
     }
 
-    /// Removes `conn` if it is the one in use for its node, and tells the handler.
-    fn on_closed(&self, node: &NodeId, conn: &Rc<Conn>) {
-        let removed = {
-            let mut conns = self.conns.borrow_mut();
-            let in_use = conns.get(node).is_some_and(|c| Rc::ptr_eq(c, conn));
-            in_use.then(|| conns.remove(node)).is_some()
-        };
-        if removed && !self.closed.get() {
-            self.handler.on_down(node);
+    /// Takes a closed connection out of use. Frames that were never written are handed back before
+    /// the handler hears that the link is down, so that it can tell them from those that may have
+    /// arrived.
+    fn retire(&self, peer: &Address, conn: &Rc<Conn>) {
+        let in_use = self.conns.borrow().get(&peer.node).is_some_and(|c| Rc::ptr_eq(c, conn));
+        if in_use {
+            self.conns.borrow_mut().remove(&peer.node);
+        }
+        if self.closed.get() {
+            return;
+        }
+        let unwritten = conn.take_unwritten();
+        if !unwritten.is_empty() {
+            self.handler.on_undelivered(peer, unwritten);
+        }
+        if in_use {
+            self.handler.on_down(&peer.node);
         }
     }
 }
--- a/crates/coriandercove_peer/src/link/listen.rs
+++ b/crates/coriandercove_peer/src/link/listen.rs
@@ -7,7 +7,6 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{Address, Inner, Passage};
-use crate::frame::Frame;
 use crate::handshake::{self, Session};
 use crate::link::conn::Conn;
 
@@ -58,10 +57,11 @@
     inner
         .conns
         .borrow_mut()
-        .entry(node.clone())
+        .entry(node)
         .or_insert_with(|| Rc::clone(&conn));
+    let address = session.peer.address();
     conn.run(inner, stream, session).await;
-    inner.on_closed(&node, &conn);
+    inner.retire(&address, &conn);
 }
 
 /// Registers a connection to `to` and opens it in the background.
@@ -88,11 +88,7 @@
         Err(_) => count(&inner.refused, "reason", "dial_timeout"),
     }
     inner.open.set(inner.open.get() - 1);
-    inner.on_closed(&to.node, &conn);
-    let unwritten: Vec<Frame> = conn.take_unwritten();
-    if !unwritten.is_empty() && !inner.closed.get() {
-        inner.handler.on_undelivered(&to, unwritten);
-    }
+    inner.retire(&to, &conn);
 }
 
 async fn connect(inner: &Rc<Inner>, to: &Address) -> Result<(TcpStream, Session), &'static str> {
--- a/crates/coriandercove_target/src/cache.rs
+++ b/crates/coriandercove_target/src/cache.rs
@@ -44,7 +44,9 @@
     inputs
         .chunks_exact(CACHE_BLOCK)
         .map(|block| {
-            hash = block.iter().fold(hash, |h, x| mix64(h ^ mix64(x.wrapping_add(1))));
+            hash = block
+                .iter()
+                .fold(hash, |h, x| mix64(h ^ mix64(x.wrapping_add(1))));
             hash
         })
         .collect()
