Choose chains by shortest path over layer boundaries

Chain choice had signatures only. It now samples two usable targets of each group (layer range and zone) and solves a shortest path over layer boundaries, with queue, link, ring and cache terms, concurrency and KV limits.

--- /dev/null
+++ b/crates/coriandercove_policy/src/chain/links.rs
@@ -0,0 +1,156 @@
+//! Link costs between zones and targets, as the planner uses them.
+
+use std::collections::HashMap;
+
+use coriandercove_base::ZoneId;
+
+use super::path::Node;
+use super::types::{ChainRequest, LinkCost};
+
+/// Known links; zones are numbered in the order of their first use.
+#[derive(Debug, Default)]
+pub(super) struct ZoneLinks {
+    zones: Vec<ZoneId>,
+    /// Cost by (from, to) zone number.
+    costs: HashMap<(u16, u16), LinkCost>,
+    /// Cost by (from, to) target number; overrides that of the zones.
+    pub(super) overrides: HashMap<(u32, u32), LinkCost>,
+}
+
+impl ZoneLinks {
+    pub(super) fn intern(&mut self, zone: &ZoneId) -> u16 {
+        self.find(zone).unwrap_or_else(|| {
+            self.zones.push(zone.clone());
+            (self.zones.len() - 1) as u16
+        })
+    }
+
+    fn find(&self, zone: &ZoneId) -> Option<u16> {
+        self.zones.iter().position(|z| z == zone).map(|i| i as u16)
+    }
+
+    pub(super) fn set(&mut self, from: &ZoneId, to: &ZoneId, cost: LinkCost) {
+        let key = (self.intern(from), self.intern(to));
+        self.costs.insert(key, cost);
+    }
+
+    fn cost(&self, from: u16, to: u16, default: LinkCost) -> LinkCost {
+        let local = LinkCost {
+            delay: std::time::Duration::ZERO,
+            bandwidth: 0,
+        };
+        let unknown = if from == to { local } else { default };
+        self.costs.get(&(from, to)).copied().unwrap_or(unknown)
+    }
+}
+
+/// Time over one link: once for the prompt, and for each generated token. In nanoseconds.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct LinkTime {
+    pub(super) prompt: f64,
+    pub(super) token: f64,
+    pub(super) delay: f64,
+}
+
+impl LinkTime {
+    fn new(cost: LinkCost, req: &ChainRequest<'_>) -> Self {
+        let delay = cost.delay.as_nanos() as f64;
+        let transfer = if cost.bandwidth == 0 {
+            0.0
+        } else {
+            f64::from(req.activation_bytes) * 1e9 / cost.bandwidth as f64
+        };
+        Self {
+            prompt: delay + f64::from(req.prompt_tokens) * transfer,
+            token: delay + transfer,
+            delay,
+        }
+    }
+}
+
+/// Link times of one request.
+#[derive(Debug)]
+pub(super) struct RequestLinks<'a> {
+    links: &'a ZoneLinks,
+    req: &'a ChainRequest<'a>,
+    /// By from x zones + to; one more zone than known stands for an unknown one.
+    times: Vec<LinkTime>,
+    zones: usize,
+    from: u16,
+    to: u16,
+    output: f64,
+}
+
+impl<'a> RequestLinks<'a> {
+    pub(super) fn new(links: &'a ZoneLinks, req: &'a ChainRequest<'a>, default: LinkCost) -> Self {
+        let zones = links.zones.len() + 1;
+        let unknown = links.zones.len() as u16;
+        let mut times = Vec::with_capacity(zones * zones);
+        for from in 0..zones as u16 {
+            for to in 0..zones as u16 {
+                times.push(LinkTime::new(links.cost(from, to, default), req));
+            }
+        }
+        Self {
+            links,
+            req,
+            times,
+            zones,
+            from: links.find(req.from).unwrap_or(unknown),
+            to: links.find(req.to).unwrap_or(unknown),
+            output: f64::from(req.output_tokens),
+        }
+    }
+
+    pub(super) fn zones(&self, from: u16, to: u16) -> LinkTime {
+        self.times[usize::from(from) * self.zones + usize::from(to)]
+    }
+
+    /// Time between two consecutive stages.
+    pub(super) fn between(&self, a: &Node, b: &Node) -> LinkTime {
+        if !self.links.overrides.is_empty()
+            && let Some(cost) = self.links.overrides.get(&(a.slot, b.slot))
+        {
+            return LinkTime::new(*cost, self.req);
+        }
+        self.zones(a.zone, b.zone)
+    }
+
+    /// Time from the source of the input to the first stage. A ring gets its input only once.
+    pub(super) fn enter(&self, zone: u16) -> LinkTime {
+        let link = self.zones(self.from, zone);
+        if self.req.ring {
+            LinkTime {
+                prompt: link.delay,
+                token: 0.0,
+                ..link
+            }
+        } else {
+            link
+        }
+    }
+
+    /// Time from the last stage to the receiver; in a ring, each token also returns to the head.
+    pub(super) fn leave(&self, zone: u16, head: u16) -> LinkTime {
+        let link = self.zones(zone, self.to);
+        if self.req.ring {
+            LinkTime {
+                prompt: link.delay,
+                token: self.zones(zone, head).delay,
+                ..link
+            }
+        } else {
+            link
+        }
+    }
+
+    /// Delay from the source of the input, for taking near zones first.
+    pub(super) fn distance(&self, zone: u16) -> f64 {
+        self.zones(self.from, zone).delay
+    }
+
+    /// Time for the whole request.
+    pub(super) fn total(&self, link: LinkTime) -> f64 {
+        link.prompt + self.output * link.token
+    }
+}
--- a/crates/coriandercove_policy/src/chain/types.rs
+++ b/crates/coriandercove_policy/src/chain/types.rs
@@ -91,6 +91,8 @@
     /// A chosen chain with its expected times.
     #[derive(Eq)]
     pub struct Chain {
+        /// Model, or name of the plain service.
+        pub model: ModelId,
         /// Version of the weights in every hop.
         pub version: String,
         /// Hops in layer order, without gaps or overlaps.
@@ -153,6 +155,11 @@
     pub max_candidates: usize,
     /// Age from which a load report counts no more.
     pub report_ttl: Time,
+    /// Time constant of averaging load reports. It is a few times their usual lag, so that
+    /// entries do not all follow one old report.
+    pub report_smoothing: Duration,
+    /// Cost between two zones for which no link is known.
+    pub default_link: LinkCost,
 }
 
 impl Default for PlannerConfig {
@@ -161,6 +168,11 @@
             sample: 2,
             max_candidates: 48,
             report_ttl: Duration::from_secs(10),
+            report_smoothing: Duration::from_secs(3),
+            default_link: LinkCost {
+                delay: Duration::from_micros(500),
+                bandwidth: 0,
+            },
         }
     }
 }
