Add the state machine of a once-call

The entry needs claim, dispatch, answer and repeat in one place that is free of I/O. OnceEntry takes events and returns actions. A keyed call is dispatched only after its claim is durable, and a ticket is replaced only with its agent's proof.

--- a/crates/coriandercove_state/src/claim/reply.rs
+++ b/crates/coriandercove_state/src/claim/reply.rs
@@ -7,7 +7,7 @@
 use super::ChangeResult;
 use super::index::{Active, Sealed};
 use super::segment::{self, Segment};
-use super::shard::{Op, Shard, ShardAction, Waiting, may_fail, settled};
+use super::shard::{Op, Refresh, Shard, ShardAction, Waiting, may_fail, settled};
 use crate::fault::{self, Fault};
 use crate::store_call::{StoreReply, Version};
 
@@ -178,7 +178,7 @@
         self.retry_at = now + self.retry;
         self.retry = (self.retry * 2).min(MAX_RETRY);
         let mut actions = Vec::new();
-        if std::mem::take(&mut self.refreshing) {
+        if std::mem::take(&mut self.refresh) != Refresh::No {
             actions.push(ShardAction::Refreshed(false));
         }
         self.queue.retain(|w| {
--- a/crates/coriandercove_state/src/claim/shard.rs
+++ b/crates/coriandercove_state/src/claim/shard.rs
@@ -59,7 +59,7 @@
     /// A submitted change has this result.
     Settled {
         /// Tag of the change.
-        tag: u64,
+        tag: u128,
         /// The result.
         result: ChangeResult,
     },
@@ -69,7 +69,7 @@
 
 #[derive(Debug)]
 pub(super) struct Waiting {
-    pub tag: u64,
+    pub tag: u128,
     pub change: Change,
     /// The segment and version that an unanswered write of this change was based on. While
     /// the segment still has that version, the write may yet take effect.
@@ -90,6 +90,15 @@
     DeleteStray(u64),
 }
 
+/// Progress of [`Shard::refresh`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) enum Refresh {
+    #[default]
+    No,
+    Wanted,
+    Started,
+}
+
 /// The claims of one shard as one entry sees them, and the changes that wait to be written.
 ///
 /// Any number of entries may work on the same shard. Each write is conditional on the version
@@ -101,7 +110,7 @@
     pub(super) loader: Loader,
     pub(super) op: Option<Op>,
     pub(super) queue: VecDeque<Waiting>,
-    pub(super) refreshing: bool,
+    pub(super) refresh: Refresh,
     last_write: Option<Time>,
     pub(super) retry_at: Time,
     pub(super) retry: Duration,
@@ -121,7 +130,7 @@
             loader: Loader::new(),
             op: None,
             queue: VecDeque::new(),
-            refreshing: false,
+            refresh: Refresh::No,
             last_write: None,
             retry_at: Time::ZERO,
             malformed: 0,
@@ -155,7 +164,7 @@
     }
 
     /// Queues a change. Its result comes as [`ShardAction::Settled`] with the same tag.
-    pub fn submit(&mut self, now: Time, tag: u64, change: Change) -> Vec<ShardAction> {
+    pub fn submit(&mut self, now: Time, tag: u128, change: Change) -> Vec<ShardAction> {
         if self.queue.len() >= self.settings.max_waiting {
             return vec![settled(tag, ChangeResult::Overloaded)];
         }
@@ -172,7 +181,7 @@
 
     /// Takes a change back. Returns whether it was certainly not written and never will be;
     /// otherwise the change stays and is settled later.
-    pub fn withdraw(&mut self, tag: u64) -> bool {
+    pub fn withdraw(&mut self, tag: u128) -> bool {
         let Some(at) = self.queue.iter().position(|w| w.tag == tag) else {
             return !self.is_in_flight(tag);
         };
@@ -183,16 +192,15 @@
         is_certain
     }
 
-    fn is_in_flight(&self, tag: u64) -> bool {
+    fn is_in_flight(&self, tag: u128) -> bool {
         matches!(&self.op, Some(Op::Write { batch, .. }) if batch.iter().any(|w| w.tag == tag))
     }
 
     /// Reads the claims that other entries wrote; ends with [`ShardAction::Refreshed`].
     pub fn refresh(&mut self, now: Time) -> Vec<ShardAction> {
-        if self.op.is_none() && self.loader.is_ready() {
-            self.loader.restart(&self.view);
+        if self.refresh == Refresh::No {
+            self.refresh = Refresh::Wanted;
         }
-        self.refreshing = true;
         self.advance(now)
     }
 
@@ -210,7 +218,7 @@
     /// segments, for which a tick every few seconds is enough.
     #[must_use]
     pub fn next_wake(&self) -> Option<Time> {
-        if self.op.is_some() || (self.queue.is_empty() && !self.refreshing) {
+        if self.op.is_some() || (self.queue.is_empty() && self.refresh == Refresh::No) {
             None
         } else if self.loader.is_ready() {
             Some(self.next_write())
@@ -227,15 +235,19 @@
     /// Starts the next store call if none is under way and there is work for one.
     pub(super) fn advance(&mut self, now: Time) -> Vec<ShardAction> {
         let mut actions = Vec::new();
-        if self.op.is_some() || (self.queue.is_empty() && !self.refreshing) {
+        if self.op.is_some() || (self.queue.is_empty() && self.refresh == Refresh::No) {
             return actions;
         }
         if now < self.retry_at {
             return actions;
         }
+        if self.refresh == Refresh::Wanted {
+            self.refresh = Refresh::Started;
+            self.loader.restart(&self.view);
+        }
         let step = self.loader.next();
         if step == Step::Ready {
-            if std::mem::take(&mut self.refreshing) {
+            if std::mem::take(&mut self.refresh) == Refresh::Started {
                 actions.push(ShardAction::Refreshed(true));
             }
             if now >= self.next_write() {
@@ -396,7 +408,7 @@
     !matches!(change, Change::Record { .. })
 }
 
-pub(super) const fn settled(tag: u64, result: ChangeResult) -> ShardAction {
+pub(super) const fn settled(tag: u128, result: ChangeResult) -> ShardAction {
     ShardAction::Settled { tag, result }
 }
 
--- a/crates/coriandercove_state/src/lease.rs
+++ b/crates/coriandercove_state/src/lease.rs
@@ -246,7 +246,7 @@
     }
 
     /// Takes the result of the last store call.
-    pub fn on_store(&mut self, now: Time, reply: StoreReply) -> Vec<LeaseAction> {
+    pub fn on_store(&mut self, now: Time, reply: &StoreReply) -> Vec<LeaseAction> {
         match self.pending.take() {
             None => Vec::new(),
             Some(Pending::Read) => self.on_read(now, reply),
@@ -255,11 +255,11 @@
         }
     }
 
-    fn on_read(&mut self, now: Time, reply: StoreReply) -> Vec<LeaseAction> {
+    fn on_read(&mut self, now: Time, reply: &StoreReply) -> Vec<LeaseAction> {
         match reply {
             StoreReply::Absent if self.wanted => vec![self.acquire(now, None)],
-            StoreReply::Value { version, value } => match decode(&value) {
-                Some(record) => self.on_record(now, version, &record),
+            StoreReply::Value { version, value } => match decode(value) {
+                Some(record) => self.on_record(now, *version, &record),
                 None => vec![LeaseAction::Malformed],
             },
             _ => Vec::new(),
@@ -284,12 +284,12 @@
     fn on_write(
         &mut self,
         now: Time,
-        reply: StoreReply,
+        reply: &StoreReply,
         record: LeaseRecord,
         sent: Time,
     ) -> Vec<LeaseAction> {
         match reply {
-            StoreReply::Written(version) => self.on_written(now, version, record, sent),
+            StoreReply::Written(version) => self.on_written(now, *version, record, sent),
             // Nothing was written and the object is as it was; the next tick tries again.
             StoreReply::Unavailable => Vec::new(),
             // A refused write may have met an own earlier write whose answer was lost.
@@ -335,7 +335,7 @@
     fn on_settle(
         &mut self,
         now: Time,
-        reply: StoreReply,
+        reply: &StoreReply,
         written: &LeaseRecord,
         sent: Time,
     ) -> Vec<LeaseAction> {
@@ -343,7 +343,8 @@
             // Still unsettled; the next tick writes or reads again.
             return Vec::new();
         };
-        let Some(record) = decode(&value) else {
+        let version = *version;
+        let Some(record) = decode(value) else {
             return vec![LeaseAction::Malformed];
         };
         if record.write_id == written.write_id {
--- a/crates/coriandercove_state/src/once.rs
+++ b/crates/coriandercove_state/src/once.rs
@@ -5,9 +5,10 @@
 //! proof from its agent, or if it was never dispatched. None of this depends on time or on
 //! which entry usually writes a shard.
 
+mod agent;
 mod call;
 mod entry;
-mod entry;
+mod shards;
 
 use std::sync::Arc;
 
@@ -79,6 +80,9 @@
     pub enum Refusal {
         /// The store cannot be reached and no claim of this request was written.
         StoreUnavailable,
+        /// The store cannot be reached to move the claim of this request to another agent,
+        /// after the first one did not get or did not take the call.
+        ClaimNotReplaced,
         /// No agent can take the call.
         NoTarget,
         /// The deadline passed before the call was dispatched.
--- a/crates/coriandercove_state/src/once/entry.rs
+++ b/crates/coriandercove_state/src/once/entry.rs
@@ -1,11 +1,18 @@
 //! All at-most-once calls of one entry.
 
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
-use coriandercove_base::rng::Rng;
-use coriandercove_base::{Time, data};
+use coriandercove_base::rng::{Rng, random_id};
+use coriandercove_base::{RequestId, TicketId, Time, data};
 
-use super::{Action, Event};
+use super::call::{Call, Phase};
+use super::{
+    Action, Event, KeyStatus, KeyedBy, OnceRequest, Outcome, Refusal, StoreOp, TargetAgent,
+};
+use crate::claim::{Change, Claim, ClaimState, KeyHash, MAX_CLAIM_BODY, MAX_SEGMENT_BYTES, Shard};
+use crate::ticket::{Answer, Ticket};
 
 data! {
     /// Settings of a [`OnceEntry`].
@@ -15,41 +22,311 @@
         pub shards: u16,
         /// Age in ms after which claims are deleted.
         pub retention_ms: u64,
+        /// Least time between two writes of a shard.
+        pub write_gap: Duration,
         /// Agents tried for one request.
         pub max_targets: u32,
         /// Wait between two probes of a call whose link failed.
         pub probe_gap: Duration,
         /// Time for which a call is followed after its caller was answered, to record its end.
         pub linger: Duration,
-        /// Calls under way; further ones are refused.
+        /// Calls and queries under way; further ones are refused.
         pub max_calls: usize,
         /// Size in bytes at which a segment is sealed.
         pub segment_bytes: usize,
     }
 }
 
+impl Default for OnceSettings {
+    fn default() -> Self {
+        Self {
+            shards: 16,
+            retention_ms: 24 * 3600 * 1000,
+            write_gap: Duration::from_millis(100),
+            max_targets: 3,
+            probe_gap: Duration::from_millis(250),
+            linger: Duration::from_secs(60),
+            max_calls: 8192,
+            segment_bytes: MAX_SEGMENT_BYTES,
+        }
+    }
+}
+
+/// Names a shard: service and number.
+pub(super) type ShardId = (Arc<str>, u16);
+
+/// A waiting `GET /v1/requests/{key}`.
+#[derive(Debug)]
+pub(super) struct Query {
+    pub req: RequestId,
+    pub shard: ShardId,
+    pub key: KeyHash,
+}
+
 /// The at-most-once calls of one entry, with the shards of claims that they use.
 pub struct OnceEntry {
-    settings: OnceSettings,
-    rng: Rng,
+    pub(super) settings: OnceSettings,
+    pub(super) rng: Rng,
+    pub(super) now: Time,
+    pub(super) wall_ms: u64,
+    pub(super) calls: HashMap<RequestId, Call>,
+    /// Times at which a call wants a tick.
+    pub(super) due: BTreeSet<(Time, RequestId)>,
+    /// Tickets of own calls that may be running.
+    pub(super) live: HashMap<TicketId, RequestId>,
+    pub(super) shards: HashMap<ShardId, Shard>,
+    pub(super) ops: HashMap<StoreOp, ShardId>,
+    pub(super) next_op: StoreOp,
+    pub(super) queries: Vec<Query>,
+    pub(super) out: Vec<Action>,
 }
 
 impl OnceEntry {
     /// An entry without calls. `rng` must be seeded differently for each run.
     #[must_use]
-    pub const fn new(settings: OnceSettings, rng: Rng) -> Self {
-        Self { settings, rng }
+    pub fn new(settings: OnceSettings, rng: Rng) -> Self {
+        Self {
+            settings,
+            rng,
+            now: Time::ZERO,
+            wall_ms: 0,
+            calls: HashMap::new(),
+            due: BTreeSet::new(),
+            live: HashMap::new(),
+            shards: HashMap::new(),
+            ops: HashMap::new(),
+            next_op: 0,
+            queries: Vec::new(),
+            out: Vec::new(),
+        }
+    }
+
+    /// Number of calls under way, including answered ones whose end is still awaited.
+    #[must_use]
+    pub fn calls(&self) -> usize {
+        self.calls.len()
     }
 
     /// Takes an event. `wall_ms` is the wall clock in ms since 1970.
     pub fn on_event(&mut self, now: Time, wall_ms: u64, event: Event) -> Vec<Action> {
-        let _ = (now, wall_ms, event, &self.settings, &self.rng);
-        Vec::new()
+        self.now = now;
+        self.wall_ms = wall_ms;
+        match event {
+            Event::Start(request) => self.start(request),
+            Event::Target { req, target } => self.on_target(req, target),
+            Event::Store { op, reply } => self.on_store(op, reply),
+            Event::Agent { req, ticket, reply } => self.on_agent(req, ticket, reply),
+            Event::NotSent { req, ticket } => self.on_not_sent(req, ticket),
+            Event::LinkLost { req, ticket } => self.on_link_lost(req, ticket),
+            Event::Probed { req, ticket, reply } => self.on_probed(req, ticket, reply),
+            Event::Query { req, service, key } => self.on_query(req, service, key),
+            Event::Tick => self.tick(),
+        }
+        std::mem::take(&mut self.out)
     }
 
-    /// The time at which [`Event::Tick`] next has something to do.
+    /// The time at which [`Event::Tick`] next has something to do. A tick every few seconds
+    /// is needed in any case, to delete old segments.
     #[must_use]
-    pub const fn next_wake(&self) -> Option<Time> {
-        None
+    pub fn next_wake(&self) -> Option<Time> {
+        let call = self.due.first().map(|(time, _)| *time);
+        let shard = self.shards.values().filter_map(Shard::next_wake).min();
+        call.into_iter().chain(shard).min()
+    }
+
+    fn start(&mut self, request: OnceRequest) {
+        let req = request.req;
+        if self.calls.len() >= self.settings.max_calls || self.calls.contains_key(&req) {
+            let outcome = Outcome::NotRun(Refusal::Overloaded);
+            self.out.push(Action::Reply { req, outcome });
+            return;
+        }
+        let key = request.key;
+        self.due.insert((request.deadline, req));
+        self.calls.insert(req, Call::new(request));
+        let claim = key.and_then(|k| self.lookup(req, k.key));
+        match claim {
+            Some(claim) => self.follow(req, claim),
+            None => self.choose(req, None),
+        }
+    }
+
+    /// The claim of `key` in memory, in the shard of the call's service.
+    pub(super) fn lookup(&mut self, req: RequestId, key: KeyHash) -> Option<Claim> {
+        let service = self.calls.get(&req)?.request.service.clone();
+        let id = self.shard_id(service, key);
+        self.shard(&id).lookup(key).cloned()
+    }
+
+    /// Asks for an agent, for a call without a claim or to replace the claim of a ticket that
+    /// provably did not run.
+    pub(super) fn choose(&mut self, req: RequestId, replaces: Option<TicketId>) {
+        let max = self.settings.max_targets;
+        let Some(call) = self.calls.get_mut(&req) else {
+            return;
+        };
+        call.phase = Phase::Choosing { replaces };
+        if call.replied || call.tried >= max {
+            return self.give_up(req, Refusal::NoTarget);
+        }
+        call.tried += 1;
+        self.out.push(Action::ChooseTarget { req });
+    }
+
+    fn on_target(&mut self, req: RequestId, target: Option<TargetAgent>) {
+        let Some(call) = self.calls.get(&req) else {
+            return;
+        };
+        let Phase::Choosing { replaces } = call.phase else {
+            return;
+        };
+        let Some(target) = target else {
+            return self.give_up(req, Refusal::NoTarget);
+        };
+        if self.now >= call.request.deadline {
+            return self.give_up(req, Refusal::Deadline);
+        }
+        let key = call.request.key;
+        let ticket = Ticket {
+            id: random_id(&mut self.rng),
+            issued_ms: self.wall_ms,
+            node: target.node,
+            incarnation: target.incarnation,
+        };
+        match key {
+            None => self.dispatch(req, ticket),
+            Some(key) => self.submit_claim(req, key, ticket, replaces),
+        }
+    }
+
+    fn submit_claim(
+        &mut self,
+        req: RequestId,
+        by: KeyedBy,
+        ticket: Ticket,
+        replaces: Option<TicketId>,
+    ) {
+        let new = Claim {
+            key: by.key,
+            fingerprint: by.fingerprint,
+            req,
+            ticket: ticket.clone(),
+            state: ClaimState::Open,
+            at_ms: self.wall_ms,
+        };
+        self.set_phase(req, Phase::Claiming { ticket, replaces });
+        let change = match replaces {
+            None => Change::Claim(new),
+            Some(old) => Change::Replace { old, new },
+        };
+        self.submit(req, req, change);
+    }
+
+    /// Sends the call. A keyed call gets here only with a durable claim.
+    pub(super) fn dispatch(&mut self, req: RequestId, ticket: Ticket) {
+        self.live.insert(ticket.id, req);
+        let phase = Phase::Dispatched {
+            ticket: ticket.clone(),
+        };
+        self.set_phase(req, phase);
+        self.out.push(Action::Dispatch { req, ticket });
+    }
+
+    pub(super) fn set_phase(&mut self, req: RequestId, phase: Phase) {
+        if let Some(call) = self.calls.get_mut(&req) {
+            call.phase = phase;
+        }
+    }
+
+    /// Refuses a call that provably did not run, and lets repeats know if it has a claim.
+    pub(super) fn give_up(&mut self, req: RequestId, refusal: Refusal) {
+        let Some(call) = self.calls.get(&req) else {
+            return;
+        };
+        let refusal = call.refused.map_or(refusal, Refusal::Agent);
+        if let Phase::Choosing {
+            replaces: Some(ticket),
+        }
+        | Phase::Claiming {
+            replaces: Some(ticket),
+            ..
+        }
+        | Phase::Reading { ticket } = call.phase
+        {
+            self.record(req, ticket, ClaimState::NotRun);
+        }
+        self.reply(req, Outcome::NotRun(refusal));
+        self.end(req);
+    }
+
+    /// Answers the caller, once.
+    pub(super) fn reply(&mut self, req: RequestId, outcome: Outcome) {
+        let Some(call) = self.calls.get_mut(&req) else {
+            return;
+        };
+        if !std::mem::replace(&mut call.replied, true) {
+            self.out.push(Action::Reply { req, outcome });
+        }
+    }
+
+    /// Forgets a call.
+    pub(super) fn end(&mut self, req: RequestId) {
+        let Some(call) = self.calls.remove(&req) else {
+            return;
+        };
+        self.due.remove(&(call.due, req));
+        if let Some(ticket) = call.phase.own_ticket() {
+            self.live.remove(&ticket);
+        }
+    }
+
+    /// Moves the next tick of a call.
+    pub(super) fn set_due(&mut self, req: RequestId, time: Time) {
+        if let Some(call) = self.calls.get_mut(&req) {
+            self.due.remove(&(call.due, req));
+            call.due = time;
+            self.due.insert((time, req));
+        }
+    }
+
+    /// Records the state of a call's key, unless another ticket has taken the key over.
+    pub(super) fn record(&mut self, req: RequestId, ticket: TicketId, state: ClaimState) {
+        let Some(key) = self.calls.get(&req).and_then(|c| c.request.key) else {
+            return;
+        };
+        let change = Change::Record {
+            key: key.key,
+            ticket,
+            state,
+            at_ms: self.wall_ms,
+        };
+        self.submit(req, super::shards::BACKGROUND, change);
+    }
+}
+
+/// State of a claim whose call was answered.
+pub(super) fn done_state(answer: &Answer) -> ClaimState {
+    let body = answer.body.as_ref().filter(|b| b.len() <= MAX_CLAIM_BODY);
+    ClaimState::Done {
+        status: answer.status,
+        body: body.map(|b| b.to_vec()),
+    }
+}
+
+/// Answer kept in a claim.
+pub(super) fn kept_answer(status: u16, body: Option<&Vec<u8>>) -> Answer {
+    Answer {
+        status,
+        body: body.map(|b| b.as_slice().into()),
+    }
+}
+
+/// What a claim says about its key.
+pub(super) fn status_of(claim: &Claim) -> KeyStatus {
+    match &claim.state {
+        ClaimState::Open => KeyStatus::Open,
+        ClaimState::Done { status, body } => KeyStatus::Done(kept_answer(*status, body.as_ref())),
+        ClaimState::Unknown => KeyStatus::Unknown,
+        ClaimState::NotRun => KeyStatus::NotFound,
     }
 }
