--- a/crates/coriandercove_state/src/config_log/change.rs
+++ b/crates/coriandercove_state/src/config_log/change.rs
@@ -74,6 +74,10 @@
         self.map.get(key).map(|v| &**v)
     }
 
+    pub(crate) fn shared(&self, key: &str) -> Option<Arc<str>> {
+        self.map.get(key).cloned()
+    }
+
     /// All objects in key order.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &Arc<str>)> {
         self.map.iter().map(|(k, v)| (k.as_str(), v))
@@ -118,16 +122,100 @@
     #[must_use]
     pub fn with(&self, upserts: &BTreeMap<String, Arc<str>>, removes: &[String]) -> Self {
         let mut next = self.clone();
+        next.edit(upserts, removes);
+        next
+    }
+
+    /// Removes and sets the given keys, and returns what undoes it.
+    pub(crate) fn edit(
+        &mut self,
+        upserts: &BTreeMap<String, Arc<str>>,
+        removes: &[String],
+    ) -> Vec<(String, Option<Arc<str>>)> {
+        let mut undo = Vec::with_capacity(upserts.len() + removes.len());
         for key in removes {
-            next.remove(key);
+            undo.push((key.clone(), self.map.get(key).cloned()));
+            self.remove(key);
         }
         for (key, value) in upserts {
-            next.insert(key.clone(), value.clone());
+            undo.push((key.clone(), self.map.get(key).cloned()));
+            self.insert(key.clone(), value.clone());
         }
-        next
+        undo
+    }
+
+    /// Takes an edit back.
+    pub(crate) fn undo(&mut self, undo: Vec<(String, Option<Arc<str>>)>) {
+        for (key, value) in undo.into_iter().rev() {
+            match value {
+                Some(value) => self.insert(key, value),
+                None => self.remove(&key),
+            }
+        }
+    }
+
+    /// Keys whose values differ between the two.
+    pub(crate) fn differing_keys(&self, other: &Self) -> Vec<String> {
+        let ours = self
+            .map
+            .iter()
+            .filter(|(k, v)| other.map.get(*k) != Some(v));
+        let theirs = other.map.keys().filter(|k| !self.map.contains_key(*k));
+        ours.map(|(k, _)| k).chain(theirs).cloned().collect()
     }
 }
 
 fn entry_hash(key: &str, value: &str) -> u128 {
     hash128(&[key.as_bytes(), value.as_bytes()])
 }
+
+impl Change {
+    /// The change that `edit` makes to `objects`, as `version`.
+    #[must_use]
+    pub fn new(
+        version: ConfigVersion,
+        write_id: u128,
+        author: String,
+        edit: Edit,
+        objects: &Objects,
+    ) -> Self {
+        let after = objects.with(&edit.upserts, &edit.removes);
+        let digest = change_digest(version, write_id, &author, &after);
+        Self {
+            version,
+            write_id,
+            author,
+            upserts: edit.upserts,
+            removes: edit.removes,
+            digest,
+        }
+    }
+
+    /// Whether the digest matches the objects that the change has led to.
+    #[must_use]
+    pub fn matches(&self, after: &Objects) -> bool {
+        self.digest == change_digest(self.version, self.write_id, &self.author, after)
+    }
+
+    /// Keys that the change sets or removes.
+    pub fn keys(&self) -> impl Iterator<Item = &String> {
+        self.upserts.keys().chain(&self.removes)
+    }
+
+    /// Rough size in memory and on the wire, in bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        let upserts: usize = self.upserts.iter().map(|(k, v)| k.len() + v.len()).sum();
+        let removes: usize = self.removes.iter().map(String::len).sum();
+        100 + self.author.len() + upserts + removes
+    }
+}
+
+fn change_digest(version: ConfigVersion, write_id: u128, author: &str, after: &Objects) -> u128 {
+    hash128(&[
+        b"change",
+        &write_id.to_le_bytes(),
+        author.as_bytes(),
+        &after.digest(version).to_le_bytes(),
+    ])
+}
--- /dev/null
+++ b/crates/coriandercove_state/src/config_log/writer.rs
@@ -0,0 +1,179 @@
+//! Writing snapshots and deleting the log objects and snapshots that they replace.
+
+use super::names::{complete_snapshots, log_version, manifest_name, part_name, snapshot_version};
+use super::snapshot::{self, SnapshotPart};
+use super::{
+    ConfigLog, LOG_KEPT, LOG_PREFIX, Manifest, Objects, Purpose, SNAPSHOT_EVERY, SNAPSHOT_PREFIX,
+    StoreAnswer, StoreCall,
+};
+use coriandercove_base::{ConfigVersion, Time};
+
+/// A step of writing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum WriteCall {
+    /// The list of snapshots, to see whether the snapshot is there already.
+    Snapshots,
+    /// The next part or the manifest.
+    Create,
+    /// The list of log objects.
+    Log,
+    /// The next object that is no longer needed.
+    Delete,
+}
+
+/// Writes one snapshot at a time, then deletes what it replaces.
+#[derive(Debug, Default)]
+pub(super) struct Writer {
+    job: Option<Job>,
+    /// Step to take at a time.
+    next: Option<(WriteCall, Time)>,
+}
+
+#[derive(Debug)]
+struct Job {
+    version: ConfigVersion,
+    objects: Objects,
+    write_ids: Vec<u128>,
+    /// Objects to create in order: name and encoded value, in reverse.
+    creates: Vec<(String, Vec<u8>)>,
+    /// Names to delete, in reverse.
+    deletes: Vec<String>,
+}
+
+impl ConfigLog {
+    /// Plans the snapshot of the version in force, if it is due and this node watches the log.
+    pub(super) fn plan_snapshot(&mut self, now: Time) {
+        let Some(rank) = self.rank else {
+            return;
+        };
+        if !self.version.is_multiple_of(SNAPSHOT_EVERY) || self.writing() {
+            return;
+        }
+        self.writer.job = Some(Job {
+            version: self.version,
+            objects: self.objects.clone(),
+            write_ids: self.write_ids.iter().copied().collect(),
+            creates: Vec::new(),
+            deletes: Vec::new(),
+        });
+        let at = now + self.cfg.snapshot_stagger * rank;
+        self.writer.next = Some((WriteCall::Snapshots, at));
+    }
+
+    fn writing(&self) -> bool {
+        self.calls
+            .iter()
+            .any(|(_, p)| matches!(p, Purpose::Write(_)))
+    }
+
+    pub(super) fn tick_writer(&mut self, now: Time) {
+        if let Some((call, _)) = self.writer.next.take_if(|(_, at)| *at <= now) {
+            self.write(call);
+        }
+    }
+
+    /// Makes the call of a step, or goes on to the step after it if nothing is left to do.
+    fn write(&mut self, call: WriteCall) {
+        let Some(job) = &self.writer.job else {
+            return;
+        };
+        let store = match call {
+            WriteCall::Snapshots => StoreCall::List {
+                prefix: SNAPSHOT_PREFIX.to_owned(),
+            },
+            WriteCall::Log => StoreCall::List {
+                prefix: LOG_PREFIX.to_owned(),
+            },
+            WriteCall::Create => match job.creates.last().cloned() {
+                Some((name, body)) => StoreCall::Create { name, body },
+                None => return self.write(WriteCall::Log),
+            },
+            WriteCall::Delete => match job.deletes.last().cloned() {
+                Some(name) => StoreCall::Delete { name },
+                None => {
+                    self.writer.job = None;
+                    return;
+                }
+            },
+        };
+        self.call(Purpose::Write(call), store);
+    }
+
+    pub(super) fn write_answer(&mut self, now: Time, call: WriteCall, answer: StoreAnswer) {
+        let Some(job) = &mut self.writer.job else {
+            return;
+        };
+        let next = match (call, answer) {
+            (WriteCall::Snapshots, StoreAnswer::Names(names)) => {
+                job.snapshots_listed(&names);
+                WriteCall::Create
+            }
+            (WriteCall::Create, StoreAnswer::Created) => {
+                job.creates.pop();
+                if job.creates.is_empty() {
+                    self.counters.snapshots_written += 1;
+                }
+                WriteCall::Create
+            }
+            (WriteCall::Create, StoreAnswer::Exists) => {
+                job.creates.pop();
+                WriteCall::Create
+            }
+            (WriteCall::Log, StoreAnswer::Names(names)) => {
+                job.log_listed(&names);
+                WriteCall::Delete
+            }
+            (WriteCall::Delete, StoreAnswer::Deleted) => {
+                job.deletes.pop();
+                self.counters.compacted += 1;
+                WriteCall::Delete
+            }
+            _ => {
+                self.counters.store_failures += 1;
+                self.writer.next = Some((call, now + self.cfg.store_retry));
+                return;
+            }
+        };
+        self.write(next);
+    }
+}
+
+impl Job {
+    fn snapshots_listed(&mut self, names: &[String]) {
+        let complete = complete_snapshots(names);
+        if !complete.iter().any(|v| *v >= self.version) {
+            let objects = std::mem::take(&mut self.objects);
+            let ids = std::mem::take(&mut self.write_ids);
+            let (manifest, parts) = snapshot::split(self.version, &objects, ids);
+            self.creates = encode_snapshot(&manifest, &parts);
+        }
+        // One older snapshot stays, for readers that find the newest one damaged. The manifest
+        // goes before the parts that it promises.
+        let floor = self.version.saturating_sub(SNAPSHOT_EVERY);
+        let mut old: Vec<_> = names
+            .iter()
+            .filter_map(|n| snapshot_version(n).map(|(v, manifest)| (v, manifest, n)))
+            .filter(|(v, ..)| *v < floor)
+            .collect();
+        old.sort_unstable();
+        self.deletes = old.into_iter().map(|(.., n)| n.clone()).collect();
+    }
+
+    fn log_listed(&mut self, names: &[String]) {
+        let floor = self.version.saturating_sub(LOG_KEPT);
+        let old = |n: &&String| log_version(n).is_some_and(|v| v <= floor);
+        self.deletes.extend(names.iter().rev().filter(old).cloned());
+    }
+}
+
+fn encode_snapshot(manifest: &Manifest, parts: &[SnapshotPart]) -> Vec<(String, Vec<u8>)> {
+    let version = manifest.version;
+    let manifest = serde_json::to_vec(manifest).unwrap_or_default();
+    let parts = parts.iter().rev().map(|part| {
+        let body = serde_json::to_vec(part).unwrap_or_default();
+        (part_name(version, part.index), body)
+    });
+    std::iter::once((manifest_name(version), manifest))
+        .chain(parts)
+        .collect()
+}
