--- a/crates/coriandercove_state/src/placement/types.rs
+++ b/crates/coriandercove_state/src/placement/types.rs
@@ -1,6 +1,6 @@
 //! What placement sees, wants and orders.
 
-use coriandercove_base::{Fence, Layer, ModelId, TargetId, ZoneId, data};
+use coriandercove_base::{Fence, Incarnation, Layer, ModelId, TargetId, ZoneId, data};
 use std::time::Duration;
 
 data! {
@@ -52,6 +52,11 @@
         pub zone: ZoneId,
         /// Kind of its accelerators.
         pub accelerator: String,
+        /// Run of its agent.
+        pub incarnation: Incarnation,
+        /// Rises with each change of what the target holds, loads or does in one incarnation, so
+        /// that a late report does not replace a newer one.
+        pub revision: u32,
         /// Whether it is alive and not leaving.
         pub available: bool,
         /// What it serves now; `None` while it holds nothing or loads.
@@ -69,6 +74,9 @@
     /// An order to a target. Repeating an order that has taken effect changes nothing.
     #[derive(Eq)]
     pub enum PlacementOrder {
+        /// Note the fencing number and report the state. A new holder gives it first: after the
+        /// answer no order of an earlier holder can change the target any more.
+        Confirm,
         /// Load a range; replaces what the target holds.
         Load(Assignment),
         /// Load an adapter.
@@ -106,7 +114,14 @@
     Desired(Vec<DesiredRange>),
     /// All targets, in place of all before.
     Targets(Vec<TargetView>),
-    /// Result of an order.
+    /// A target answered [`PlacementOrder::Confirm`].
+    Confirmed {
+        /// Fencing number of the order.
+        fence: Fence,
+        /// State of the target when it answered.
+        view: TargetView,
+    },
+    /// Result of any other order.
     OrderResult {
         /// The target.
         target: TargetId,
@@ -145,6 +160,10 @@
     pub weight_bytes_per_s: u64,
     /// Time after which an order without visible effect is given again.
     pub order_timeout: Duration,
+    /// Time after which an unanswered [`PlacementOrder::Confirm`] is repeated.
+    pub confirm_timeout: Duration,
+    /// Time for which a target that failed an order gets none.
+    pub failure_pause: Duration,
     /// Time for which a load imbalance must last before a target moves.
     pub rebalance_after: Duration,
     /// Load of a range, in hundredths, above which it gets another replica.
@@ -157,7 +176,9 @@
     fn default() -> Self {
         Self {
             weight_bytes_per_s: 1 << 30,
-            order_timeout: Duration::from_secs(600),
+            order_timeout: Duration::from_secs(30),
+            confirm_timeout: Duration::from_secs(3),
+            failure_pause: Duration::from_secs(30),
             rebalance_after: Duration::from_secs(60),
             high_load: 80,
             low_load: 30,
