--- a/crates/coriandercove_base/src/http.rs
+++ b/crates/coriandercove_base/src/http.rs
@@ -254,10 +254,7 @@
     }
 }
 
-async fn read_body<S>(
-    answer: &mut awc::ClientResponse<S>,
-    limit: usize,
-) -> Result<Bytes, HttpError>
+async fn read_body<S>(answer: &mut awc::ClientResponse<S>, limit: usize) -> Result<Bytes, HttpError>
 where
     S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
 {
--- /dev/null
+++ b/crates/coriandercove_standin/src/engine.rs
@@ -0,0 +1,157 @@
+//! The engine stand-in.
+
+mod app;
+pub mod batcher;
+
+mod kv;
+pub mod prefix_cache;
+pub mod schedule;
+pub mod sequence;
+pub mod settings;
+pub mod stats;
+mod weights;
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use coriandercove_base::data;
+
+pub use self::settings::{CostModel, EngineSettings};
+pub use self::stats::{EngineStats, OrderRecord};
+pub use self::weights::WeightStore;
+use crate::faults::Faults;
+use crate::server::Server;
+
+data! {
+    /// Faults of an engine; body of `PUT /control/faults`.
+    #[serde(default, deny_unknown_fields)]
+    pub struct EngineFaults {
+        /// Nothing is answered and no iteration ends while this holds. Connections are still accepted,
+        /// as for a stopped process.
+        pub frozen: bool,
+        /// Iterations take this many times as long.
+        pub slow_factor: f64,
+        /// Share of items that fail, from 0 to 1.
+        pub fail_share: f64,
+        /// Nonsense to answer instead of results.
+        pub nonsense: Nonsense,
+        /// Status to answer every call with; 0 for none.
+        pub refuse_status: u16,
+    }
+
+    /// Kinds of wrong answers.
+    #[derive(Default, Eq, Copy)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Nonsense {
+        /// Right answers.
+        #[default]
+        None,
+        /// A body that is no JSON.
+        NotJson,
+        /// JSON of another form.
+        OtherForm,
+        /// Results without the last one.
+        MissingResult,
+        /// Results in the reverse order.
+        CrossedResults,
+        /// The connection closes instead of an answer.
+        Disconnect,
+        /// A body of 32 MiB, which is above the bounds of the clients.
+        Huge,
+    }
+}
+
+impl Default for EngineFaults {
+    fn default() -> Self {
+        Self {
+            frozen: false,
+            slow_factor: 1.0,
+            fail_share: 0.0,
+            nonsense: Nonsense::None,
+            refuse_status: 0,
+        }
+    }
+}
+
+/// Records that the engine's thread shares with the handle.
+#[derive(Debug, Default)]
+struct Records {
+    stats: EngineStats,
+    orders: Vec<OrderRecord>,
+}
+
+/// A running engine stand-in. Dropping it kills the engine.
+pub struct EngineHandle {
+    server: Server,
+    faults: Faults<EngineFaults>,
+    records: Arc<Mutex<Records>>,
+}
+
+impl EngineHandle {
+    /// Address that the engine listens on.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Address as the start of a URL.
+    #[must_use]
+    pub fn url(&self) -> String {
+        self.server.url()
+    }
+
+    /// The faults, to change.
+    #[must_use]
+    pub const fn faults(&self) -> &Faults<EngineFaults> {
+        &self.faults
+    }
+
+    /// Counts up to the latest iteration.
+    #[must_use]
+    pub fn stats(&self) -> EngineStats {
+        self.records().stats
+    }
+
+    /// All orders so far.
+    #[must_use]
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        self.records().orders.clone()
+    }
+
+    fn records(&self) -> std::sync::MutexGuard<'_, Records> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ends after the calls in flight, or after `grace`.
+    pub fn stop(self, grace: Duration) {
+        self.server.stop(grace);
+    }
+
+    /// Ends at once and closes all connections.
+    pub fn kill(self) {
+        self.server.kill();
+    }
+}
+
+/// Starts an engine on a thread of its own.
+///
+/// # Errors
+/// If the address cannot be bound or no thread can be started.
+pub fn start(settings: EngineSettings) -> io::Result<EngineHandle> {
+    let faults = Faults::<EngineFaults>::default();
+    let records = Arc::<Mutex<Records>>::default();
+    let (f, r) = (faults.clone(), Arc::clone(&records));
+    let server = Server::start(settings.listen, "engine", move || {
+        let app = Rc::new(app::EngineApp::new(settings, f, r));
+        app.spawn();
+        app
+    })?;
+    Ok(EngineHandle {
+        server,
+        faults,
+        records,
+    })
+}
--- a/crates/coriandercove_target/src/cache.rs
+++ b/crates/coriandercove_target/src/cache.rs
@@ -44,8 +44,15 @@
     inputs
         .chunks_exact(CACHE_BLOCK)
         .map(|block| {
-            hash = block.iter().fold(hash, |h, x| mix64(h ^ mix64(x.wrapping_add(1))));
+            hash = next_prefix_hash(hash, block);
             hash
         })
         .collect()
 }
+
+/// The hash of a prefix that ends with `block`; `before` is the hash without it, 0 for none.
+#[must_use]
+pub fn next_prefix_hash(before: u64, block: &[u64]) -> u64 {
+    let fold = |h, x: &u64| mix64(h ^ mix64(x.wrapping_add(1)));
+    block.iter().fold(before, fold)
+}
--- a/crates/coriandercove_target/src/engine.rs
+++ b/crates/coriandercove_target/src/engine.rs
@@ -123,6 +123,8 @@
         OutOfMemory,
         /// The sequence was cancelled.
         Cancelled,
+        /// The engine failed at the item.
+        Failed,
     }
 
     /// Body of `POST /v1/orders`.
--- a/crates/coriandercove_target/src/http_engine.rs
+++ b/crates/coriandercove_target/src/http_engine.rs
@@ -97,11 +97,7 @@
     }
 
     fn cancel(&self, seq: String) -> Answer<()> {
-        let call = self.call(
-            "POST",
-            &format!("/v1/sequences/{seq}/cancel"),
-            Bytes::new(),
-        );
+        let call = self.call("POST", &format!("/v1/sequences/{seq}/cancel"), Bytes::new());
         Box::pin(async move { call.await.map(drop) })
     }
 
--- a/crates/coriandercove_target/src/lib.rs
+++ b/crates/coriandercove_target/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod oracle;
 pub mod service;
 
-pub use cache::{CACHE_BLOCK, CacheChange, CacheEvent, CacheEvents, prefix_hashes};
+pub use cache::{
+    CACHE_BLOCK, CacheChange, CacheEvent, CacheEvents, next_prefix_hash, prefix_hashes,
+};
 pub use engine::{
     Engine, EngineError, EngineInfo, EngineLoad, ForwardItem, ForwardReply, ForwardRequest,
     ForwardResult, ItemError, Order, OrderRequest,
--- a/crates/coriandercove_target/src/service.rs
+++ b/crates/coriandercove_target/src/service.rs
@@ -69,6 +69,8 @@
     ///
     /// # Errors
     /// [`ServiceError`], which tells whether the call may have run.
-    fn call(&self, call: ServiceCall)
-    -> LocalBoxFuture<'static, Result<ServiceAnswer, ServiceError>>;
+    fn call(
+        &self,
+        call: ServiceCall,
+    ) -> LocalBoxFuture<'static, Result<ServiceAnswer, ServiceError>>;
 }
