Convert, check and compare configurations as sets of objects

The configuration log stores small objects, and operators read differences by field. Adds the object codec, delta, digest, the check of the whole configuration and account keys.

--- a/crates/coriandercove_config/src/config.rs
+++ b/crates/coriandercove_config/src/config.rs
@@ -1,6 +1,8 @@
 //! The typed configuration that is in force at every site.
 
 mod account;
+mod check;
+mod codec;
 mod limits;
 mod pipeline;
 mod service;
@@ -8,6 +10,8 @@
 mod target;
 
 pub use account::{Account, KeyHash};
+pub use check::{NAME_FORM, is_name};
+pub use codec::PLACE;
 pub use limits::{Claims, Limits};
 pub use pipeline::{LayerCompute, Pipeline};
 pub use service::{Repeat, Rule, Service};
--- /dev/null
+++ b/crates/coriandercove_config/src/config/check.rs
@@ -0,0 +1,145 @@
+//! Checks of the whole configuration: names, references, ranges and coverage of layers.
+
+mod places;
+mod traffic;
+
+use super::codec::PLACE;
+use super::{Config, Placement};
+use crate::problem::{Problem, Problems};
+
+/// Form of names, for error messages.
+pub const NAME_FORM: &str =
+    "1 to 63 of a-z, 0-9, `-`, `_` and `.`, starting with a letter or digit";
+
+/// Whether `name` can name an object.
+#[must_use]
+pub fn is_name(name: &str) -> bool {
+    let first = name.bytes().next();
+    name.len() <= 63
+        && first.is_some_and(|b| b.is_ascii_lowercase() || b.is_ascii_digit())
+        && name
+            .bytes()
+            .all(|b| matches!(b, b'a'..=b'z' | b'0'..=b'9' | b'-' | b'_' | b'.'))
+}
+
+impl Config {
+    /// Checks names, references, ranges and whether every layer of every model is placed.
+    ///
+    /// # Errors
+    /// All problems; the key of each is the object key and the field, such as `target/t1.zone`.
+    pub fn check(&self) -> Result<(), Problems> {
+        let mut c = Checker::default();
+        c.sites(self);
+        self.links.iter().for_each(|l| c.link(self, l));
+        self.pipelines.iter().for_each(|p| c.pipeline(self, p));
+        self.services.iter().for_each(|s| c.service(self, s));
+        self.accounts.iter().for_each(|a| c.account(a));
+        c.key_ids(&self.accounts);
+        c.targets(self);
+        self.placements.iter().for_each(|p| c.placement(self, p));
+        c.limits(&self.limits);
+        c.claims(&self.claims);
+        c.duplicates(self);
+        c.problems.or(())
+    }
+}
+
+#[derive(Default)]
+struct Checker {
+    problems: Problems,
+}
+
+impl Checker {
+    fn add(&mut self, key: String, problem: String, allowed: &str) {
+        self.problems.0.push(Problem {
+            file: PLACE.to_owned(),
+            line: 0,
+            key,
+            problem,
+            allowed: allowed.to_owned(),
+        });
+    }
+
+    fn name(&mut self, key: String, name: &str) {
+        if !is_name(name) {
+            self.add(key, format!("`{name}` is not a valid name"), NAME_FORM);
+        }
+    }
+
+    fn range(&mut self, key: &str, field: &str, value: u64, min: u64, max: u64) {
+        if !(min..=max).contains(&value) {
+            self.add(
+                format!("{key}.{field}"),
+                format!("{value} is out of range"),
+                &format!("{min} to {max}"),
+            );
+        }
+    }
+
+    fn millis(&mut self, key: &str, field: &str, value: std::time::Duration, min: u64, max: u64) {
+        let micros = value.as_micros();
+        if micros < u128::from(min) * 1000 || micros > u128::from(max) * 1000 {
+            let text = crate::duration::format;
+            let limit = |ms| text(std::time::Duration::from_millis(ms));
+            self.add(
+                format!("{key}.{field}"),
+                format!("{} is out of range", text(value)),
+                &format!("{} to {}", limit(min), limit(max)),
+            );
+        }
+    }
+
+    fn known(&mut self, key: String, what: &str, name: &str, names: &[&str]) {
+        if !names.contains(&name) {
+            self.add(key, format!("there is no {what} `{name}`"), &list(names));
+        }
+    }
+
+    fn duplicates(&mut self, config: &Config) {
+        self.twice("site", config.sites.iter().map(|x| x.name.clone()));
+        self.twice("zone", config.zones.iter().map(|x| x.name.to_string()));
+        self.twice(
+            "link",
+            config.links.iter().map(|x| format!("{}--{}", x.a, x.b)),
+        );
+        self.twice(
+            "pipeline",
+            config.pipelines.iter().map(|x| x.model.to_string()),
+        );
+        self.twice("service", config.services.iter().map(|x| x.name.clone()));
+        self.twice(
+            "account",
+            config.accounts.iter().map(|x| x.name.to_string()),
+        );
+        self.twice("target", config.targets.iter().map(|x| x.id.to_string()));
+        self.twice("placement", config.placements.iter().map(Placement::name));
+    }
+
+    fn twice(&mut self, kind: &str, names: impl Iterator<Item = String>) {
+        let mut names: Vec<String> = names.collect();
+        names.sort();
+        for pair in names.windows(2).filter(|pair| pair[0] == pair[1]) {
+            self.add(
+                format!("{kind}/{}", pair[0]),
+                format!("`{}` is given twice", pair[0]),
+                "unique names",
+            );
+        }
+    }
+}
+
+impl Config {
+    fn zone_names(&self) -> Vec<&str> {
+        self.zones.iter().map(|z| &*z.name).collect()
+    }
+}
+
+/// The first names of a list, for error messages.
+fn list(names: &[&str]) -> String {
+    const SHOWN: usize = 12;
+    match names.len() {
+        0 => "none is defined yet".to_owned(),
+        n if n > SHOWN => format!("{} and {} more", names[..SHOWN].join(", "), n - SHOWN),
+        _ => names.join(", "),
+    }
+}
--- a/crates/coriandercove_config/src/config/service.rs
+++ b/crates/coriandercove_config/src/config/service.rs
@@ -85,3 +85,34 @@
     }
     segments.next().is_none()
 }
+
+/// Methods that a rule may name, for error messages.
+pub(crate) const METHODS_FORM: &str = "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS or *";
+/// Form of path patterns, for error messages.
+pub(crate) const PATTERN_FORM: &str =
+    "a path from `/`, in which `*` stands for one segment and a final `**` for any rest";
+
+/// Whether a rule may name this method.
+pub(crate) fn is_method(method: &str) -> bool {
+    matches!(
+        method,
+        "GET" | "HEAD" | "POST" | "PUT" | "PATCH" | "DELETE" | "OPTIONS" | "*"
+    )
+}
+
+/// Checks the form of a path pattern.
+pub(crate) fn check_pattern(pattern: &str) -> Result<(), String> {
+    if !pattern.starts_with('/') {
+        return Err(format!("`{pattern}` does not start with `/`"));
+    }
+    let segments: Vec<&str> = pattern[1..].split('/').collect();
+    let wrong = segments.iter().enumerate().find(|(i, s)| {
+        let last = i + 1 == segments.len();
+        let odd = s.contains(['?', '#', ' ']) || (s.contains('*') && **s != "*" && **s != "**");
+        odd || (**s == "**" && !last) || (s.is_empty() && !last)
+    });
+    match wrong {
+        Some((_, segment)) => Err(format!("`{pattern}` has the invalid segment `{segment}`")),
+        None => Ok(()),
+    }
+}
--- a/crates/coriandercove_config/src/lib.rs
+++ b/crates/coriandercove_config/src/lib.rs
@@ -1,8 +1,10 @@
 //! Answers, generated configuration and process settings.
 
 pub mod config;
+pub mod diff;
 pub mod duration;
 pub mod keys;
+pub mod objects;
 pub mod problem;
 pub mod secret;
 pub mod settings;
@@ -11,6 +13,7 @@
     Account, Claims, Config, KeyHash, LayerCompute, Limits, Link, Pipeline, Placement, Repeat,
     Rule, Service, Site, Target, TargetKind, Zone,
 };
+pub use objects::{Delta, Objects};
 pub use problem::{Problem, Problems};
 pub use secret::Secret;
 pub use settings::{AgentSettings, EntrySettings};
--- a/crates/coriandercove_config/src/problem.rs
+++ b/crates/coriandercove_config/src/problem.rs
@@ -67,3 +67,15 @@
         Err(self)
     }
 }
+
+/// Splits a serde error such as `unknown field x, expected y` into the problem and what is allowed.
+#[must_use]
+pub(crate) fn split_expected(message: &str) -> (String, String) {
+    let message = message
+        .replace("unknown field", "unknown key")
+        .replace("missing field", "missing key");
+    match message.split_once(", expected ") {
+        Some((problem, expected)) => (problem.to_owned(), expected.to_owned()),
+        None => (message, String::new()),
+    }
+}
