--- a/crates/coriandercove_operator/tests/endpoint.rs
+++ b/crates/coriandercove_operator/tests/endpoint.rs
@@ -238,7 +238,7 @@
         (400, "\u{1}\u{2}\u{3} / HTTP/1.1\r\n\r\n".to_owned()),
     ];
     for (status, request) in cases {
-        assert_eq!(raw(&server, &request).await, status, "{:.80}", request);
+        assert_eq!(raw(&server, &request).await, status, "{request:.80}");
     }
     assert!(client(&server, TOKEN).readiness().await.unwrap().ready);
 }
