--- a/crates/coriandercove_config/src/lib.rs
+++ b/crates/coriandercove_config/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod problem;
 pub mod secret;
 pub mod settings;
+pub mod yaml;
 
 pub use config::{
     Account, Claims, Config, KeyHash, LayerCompute, Limits, Link, Pipeline, Placement, Repeat,
