--- /dev/null
+++ b/crates/coriandercove_policy/src/admission/fair.rs
@@ -0,0 +1,204 @@
+//! Start-time fair queueing over client accounts.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use coriandercove_base::{AccountId, RequestId};
+
+/// Virtual time of one unit of cost at weight 1. The resolution keeps rounding far below a token.
+const UNIT: f64 = 1024.0;
+
+/// Idle accounts kept beyond the backlogged ones before a sweep.
+const IDLE_SLACK: usize = 64;
+
+/// Place of a request within its account: priority, then order of arrival.
+pub type Place = (u8, u64);
+
+/// A request in a fair queue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FairItem {
+    /// The request.
+    pub req: RequestId,
+    /// Cost in tokens.
+    pub cost: u64,
+}
+
+/// A request that leaves the queue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Popped {
+    /// Account of the request.
+    pub account: AccountId,
+    /// Place that it had, for putting it back.
+    pub place: Place,
+    /// The request.
+    pub item: FairItem,
+}
+
+#[derive(Debug)]
+struct Flow {
+    weight: f64,
+    /// Start tag of the next request; at least the virtual time when the flow became backlogged.
+    start: u128,
+    /// Sum of the costs of `items`.
+    backlog: u64,
+    items: BTreeMap<Place, FairItem>,
+}
+
+/// Shares a server among accounts in proportion to their weights.
+///
+/// The virtual time is the start tag of the last request served and never falls. An account that
+/// had no competition is not punished for what it used, because the virtual time follows it.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    virtual_time: u128,
+    flows: HashMap<AccountId, Flow>,
+    /// Backlogged accounts by the start tag of their next request.
+    order: BTreeSet<(u128, AccountId)>,
+    /// Sum of the backlogs of all flows.
+    backlog: u64,
+    len: usize,
+}
+
+impl Flow {
+    fn span(&self, cost: u64) -> u128 {
+        ((cost as f64 * UNIT / self.weight) as u128).max(1)
+    }
+}
+
+impl FairQueue {
+    /// Waiting requests.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether no request waits.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Sum of the costs of the waiting requests.
+    #[must_use]
+    pub const fn backlog(&self) -> u64 {
+        self.backlog
+    }
+
+    /// Virtual time; never falls.
+    #[must_use]
+    pub const fn virtual_time(&self) -> u128 {
+        self.virtual_time
+    }
+
+    /// Adds a request. `place` is unique within the account.
+    pub fn push(&mut self, account: &AccountId, weight: f64, place: Place, item: FairItem) {
+        let now = self.virtual_time;
+        let flow = self.flows.entry(account.clone()).or_insert_with(|| Flow {
+            weight,
+            start: now,
+            backlog: 0,
+            items: BTreeMap::new(),
+        });
+        flow.weight = weight.max(1e-6);
+        if flow.items.is_empty() {
+            flow.start = flow.start.max(now);
+            self.order.insert((flow.start, account.clone()));
+        }
+        flow.backlog += item.cost;
+        self.backlog += item.cost;
+        if let Some(old) = flow.items.insert(place, item) {
+            flow.backlog -= old.cost;
+            self.backlog -= old.cost;
+        } else {
+            self.len += 1;
+        }
+    }
+
+    /// Takes the next request.
+    pub fn pop(&mut self) -> Option<Popped> {
+        let (start, account) = self.order.pop_first()?;
+        let flow = self.flows.get_mut(&account)?;
+        let (place, item) = flow.items.pop_first()?;
+        self.virtual_time = self.virtual_time.max(start);
+        flow.backlog -= item.cost;
+        self.backlog -= item.cost;
+        self.len -= 1;
+        flow.start = start + flow.span(item.cost);
+        if !flow.items.is_empty() {
+            self.order.insert((flow.start, account.clone()));
+        }
+        self.sweep();
+        Some(Popped {
+            account,
+            place,
+            item,
+        })
+    }
+
+    /// Puts a request back that was taken but not served, and returns its cost to the account.
+    pub fn put_back(&mut self, popped: Popped, weight: f64) {
+        let now = self.virtual_time;
+        if let Some(flow) = self.flows.get_mut(&popped.account) {
+            let refund = flow.span(popped.item.cost);
+            self.order.remove(&(flow.start, popped.account.clone()));
+            flow.start = flow.start.saturating_sub(refund).max(now);
+            if !flow.items.is_empty() {
+                self.order.insert((flow.start, popped.account.clone()));
+            }
+        }
+        self.push(&popped.account, weight, popped.place, popped.item);
+    }
+
+    /// Removes a waiting request.
+    pub fn remove(&mut self, account: &AccountId, place: Place) -> Option<FairItem> {
+        let flow = self.flows.get_mut(account)?;
+        let item = flow.items.remove(&place)?;
+        flow.backlog -= item.cost;
+        self.backlog -= item.cost;
+        self.len -= 1;
+        if flow.items.is_empty() {
+            self.order.remove(&(flow.start, account.clone()));
+        }
+        Some(item)
+    }
+
+    /// Cost that is served before a new request of the account would be.
+    ///
+    /// Another account is served up to the start tag that the new request would get, or until
+    /// its backlog ends.
+    #[must_use]
+    pub fn ahead(&self, account: &AccountId, weight: f64, priority: u8) -> f64 {
+        let flow = self.flows.get(account);
+        let own = flow.map_or(0, |f| {
+            let before = f.items.range(..=(priority, u64::MAX));
+            before.map(|(_, item)| item.cost).sum::<u64>()
+        }) as f64;
+        let start = flow.map_or(self.virtual_time, |f| f.start.max(self.virtual_time)) as f64;
+        let tag = start + own * UNIT / weight.max(1e-6);
+        let others = self.order.iter().filter(|(_, a)| a != account);
+        let others = others.map(|(start, a)| {
+            let other = &self.flows[a];
+            let served = (tag - *start as f64).max(0.0) * other.weight / UNIT;
+            served.min(other.backlog as f64)
+        });
+        own + others.sum::<f64>()
+    }
+
+    /// Sum of the weights of the accounts with waiting requests, leaving out `account`.
+    #[must_use]
+    pub fn other_weight(&self, account: &AccountId) -> f64 {
+        let others = self.order.iter().filter(|(_, a)| a != account);
+        others.map(|(_, a)| self.flows[a].weight).sum()
+    }
+
+    /// Forgets idle accounts whose tags no longer matter.
+    fn sweep(&mut self) {
+        if self.flows.len() > 2 * self.order.len() + IDLE_SLACK {
+            let now = self.virtual_time;
+            self.flows
+                .retain(|_, f| !f.items.is_empty() || f.start > now);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/coriandercove_policy/src/admission/pool.rs
@@ -0,0 +1,87 @@
+//! A pool of slots: the requests that a model or service takes at once from this entry.
+
+use std::time::Duration;
+
+use coriandercove_base::{AccountId, Time};
+
+use super::fair::FairQueue;
+
+/// Weight of the past at each completed request: the rate covers about the last 100.
+const DECAY: f64 = 0.99;
+
+/// Wait after a request that found no chain, unless a slot is freed earlier.
+const BLOCK: Duration = Duration::from_millis(20);
+
+/// Longest wait that is estimated.
+const MAX_WAIT: Duration = Duration::from_secs(3600);
+
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    pub(super) slots: u32,
+    pub(super) in_use: u32,
+    pub(super) fair: FairQueue,
+    blocked_until: Time,
+    /// Decayed sum of the costs of completed requests.
+    cost: f64,
+    /// Decayed sum of the seconds for which they held a slot.
+    held: f64,
+}
+
+impl Pool {
+    pub(super) fn has_slot(&self, now: Time) -> bool {
+        self.in_use < self.slots && now >= self.blocked_until
+    }
+
+    /// Whether a new request would get a slot at once.
+    pub(super) fn is_idle(&self, now: Time) -> bool {
+        self.fair.is_empty() && self.has_slot(now)
+    }
+
+    pub(super) const fn block(&mut self, now: Time) {
+        self.blocked_until = now.saturating_add(BLOCK);
+    }
+
+    pub(super) fn complete(&mut self, cost: u64, held: Duration) {
+        self.in_use = self.in_use.saturating_sub(1);
+        self.blocked_until = Time::ZERO;
+        self.cost = self.cost * DECAY + cost as f64;
+        self.held = self.held * DECAY + held.as_secs_f64();
+    }
+
+    /// Cost served per second with all slots in use. Before the first completion, `guess`
+    /// stands for the cost per second of one slot.
+    pub(super) fn rate(&self, guess: f64) -> f64 {
+        let per_slot = if self.held > 0.0 {
+            self.cost / self.held
+        } else {
+            guess
+        };
+        per_slot * f64::from(self.slots)
+    }
+
+    /// Expected wait of a new request for a slot.
+    pub(super) fn wait(
+        &self,
+        account: &AccountId,
+        weight: f64,
+        priority: u8,
+        now: Time,
+        guess: f64,
+    ) -> Duration {
+        if self.is_idle(now) {
+            return Duration::ZERO;
+        }
+        let ahead = self.fair.ahead(account, weight, priority);
+        let seconds = ahead / self.rate(guess).max(1e-9);
+        if seconds >= MAX_WAIT.as_secs_f64() {
+            MAX_WAIT
+        } else {
+            Duration::from_secs_f64(seconds)
+        }
+    }
+
+    /// Share of the pool that an account has if it keeps requests waiting.
+    pub(super) fn share(&self, account: &AccountId, weight: f64) -> f64 {
+        weight / (weight + self.fair.other_weight(account))
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_policy/src/admission/tests/model.rs
@@ -0,0 +1,105 @@
+//! A model of an entry under load: Poisson arrivals, a pool of slots, callers with deadlines.
+
+use super::*;
+
+/// Load of one account as a multiple of the capacity.
+pub(super) struct Load {
+    pub(super) account: &'static str,
+    pub(super) weight: f64,
+    pub(super) demand: f64,
+}
+
+impl Load {
+    pub(super) fn new(account: &'static str, demand: f64) -> Self {
+        Self {
+            account,
+            weight: 1.0,
+            demand,
+        }
+    }
+}
+
+const COST: u64 = 100;
+const DEADLINE: f64 = 5.0;
+const SECONDS: f64 = 300.0;
+
+struct Model {
+    admission: Admission,
+    owners: HashMap<RequestId, (usize, Time)>,
+    done: BinaryHeap<Reverse<(Time, RequestId)>>,
+    good: Vec<f64>,
+    rng: rng::Rng,
+}
+
+impl Model {
+    /// Requests take one second on average, unlike what admission is told.
+    fn start(&mut self, now: Time, req: RequestId) {
+        let took = secs(self.rng.random_range(0.5..1.5));
+        self.done.push(Reverse((now + took, req)));
+    }
+
+    fn poll(&mut self, now: Time) {
+        for action in self.admission.poll(now) {
+            if let AdmissionAction::Dispatch { req } = action {
+                self.start(now, req);
+            }
+        }
+    }
+
+    fn finish_until(&mut self, until: Time) {
+        while let Some(Reverse((now, req))) = self.done.peek().copied() {
+            if now > until {
+                break;
+            }
+            self.done.pop();
+            self.admission.release(now, req, COST);
+            let (owner, deadline) = self.owners[&req];
+            if now <= deadline {
+                self.good[owner] += 1.0;
+            }
+            self.poll(now);
+        }
+    }
+}
+
+/// Answers in time for each account, as a share of the capacity.
+pub(super) fn run(seed: u64, slots: u32, loads: &[Load]) -> Vec<f64> {
+    let mut model = Model {
+        admission: admission(slots),
+        owners: HashMap::new(),
+        done: BinaryHeap::new(),
+        good: vec![0.0; loads.len()],
+        rng: rng::seeded(seed),
+    };
+    let mut next: BinaryHeap<Reverse<(Time, usize)>> = BinaryHeap::new();
+    for (i, load) in loads.iter().enumerate() {
+        let limits = AccountLimits {
+            weight: load.weight,
+            tokens_per_second: None,
+            burst: 0.0,
+        };
+        model.admission.set_limits(&load.account.into(), limits);
+        next.push(Reverse((Time::ZERO, i)));
+    }
+    let mut req: RequestId = 0;
+    while let Some(Reverse((now, i))) = next.pop() {
+        if now > secs(SECONDS) {
+            break;
+        }
+        model.finish_until(now);
+        req += 1;
+        let mut a = arrival(req, loads[i].account, COST, now);
+        a.deadline = now + secs(DEADLINE);
+        a.service_time = secs(1.5);
+        model.owners.insert(req, (i, a.deadline));
+        if model.admission.offer(now, a) == Admitted::Dispatch {
+            model.start(now, req);
+        }
+        model.poll(now);
+        let rate = loads[i].demand * f64::from(slots);
+        let gap = -(1.0 - model.rng.random::<f64>()).ln() / rate;
+        next.push(Reverse((now + secs(gap), i)));
+    }
+    let capacity = f64::from(slots) * SECONDS;
+    model.good.iter().map(|g| g / capacity).collect()
+}
--- a/crates/coriandercove_policy/src/explain.rs
+++ b/crates/coriandercove_policy/src/explain.rs
@@ -41,6 +41,8 @@
         OutcomeUnknown,
         /// The caller went away.
         Cancelled,
+        /// A request with the same id is in progress at this entry.
+        DuplicateRequest,
     }
 
     /// A refusal with what the caller needs to try again.
@@ -127,7 +129,7 @@
 
 impl RefusalReason {
     /// Every reason, for registering counters.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::QuotaExceeded,
         Self::AccountQueueFull,
         Self::EntryQueueFull,
@@ -143,6 +145,7 @@
         Self::AttemptsFailed,
         Self::OutcomeUnknown,
         Self::Cancelled,
+        Self::DuplicateRequest,
     ];
 
     /// Stable name for counters, logs and callers.
@@ -164,6 +167,7 @@
             Self::AttemptsFailed => "attempts_failed",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::Cancelled => "cancelled",
+            Self::DuplicateRequest => "duplicate_request",
         }
     }
 }
