Implement membership

Entries must learn within seconds which of thousands of agents live, at 2 KB/s. Agents send heartbeats to three entries, entries spread rumours and loads in byte-bounded digests, and records merge by an order that does not depend on arrival. A zone that falls silent is kept as unreachable.

--- a/crates/coriandercove_state/src/membership/message.rs
+++ b/crates/coriandercove_state/src/membership/message.rs
@@ -25,7 +25,7 @@
         pub key: MemberKey,
         /// Its run.
         pub incarnation: Incarnation,
-        /// Rises by one with each round of heartbeats.
+        /// Rises with each round of heartbeats, and with each datagram of an entry.
         pub seq: u64,
         /// Version of the configuration in force.
         pub config: ConfigVersion,
@@ -80,7 +80,7 @@
     /// Load of a member at a heartbeat.
     #[derive(Eq, Copy)]
     pub struct LoadRecord {
-        /// Low 32 bits of the member's key. A collision shows one member's load at another for
+        /// High 32 bits of the member's key. A collision shows one member's load at another for
         /// some seconds, which routing tolerates.
         pub key: u32,
         /// Low 16 bits of the heartbeat, which order reports of the last hours.
@@ -113,7 +113,7 @@
     }
 
     /// Asks for the records in which two tables differ.
-    #[derive(Eq)]
+    #[derive(Eq, Default)]
     pub struct Query {
         /// The sender.
         pub key: MemberKey,
@@ -125,3 +125,18 @@
         pub buckets: Vec<u16>,
     }
 }
+
+impl Message {
+    /// The postcard encoding.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        // Encoding into memory fails for no value of these types.
+        postcard::to_allocvec(self).unwrap_or_default()
+    }
+
+    /// Decodes a datagram; `None` if it is malformed.
+    #[must_use]
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
--- a/crates/coriandercove_state/src/membership/record.rs
+++ b/crates/coriandercove_state/src/membership/record.rs
@@ -1,5 +1,6 @@
 //! What is known of one member, and how two records of it merge.
 
+use super::faults::{Faults, MembershipFault};
 use coriandercove_base::hash::hash64;
 use coriandercove_base::{Incarnation, NodeId, ZoneId, data};
 use std::net::SocketAddr;
@@ -111,3 +112,59 @@
         }
     }
 }
+
+/// What a merge changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Merge {
+    /// The other record is older or equal.
+    Nothing,
+    /// Heartbeat, liveness or leaving.
+    State,
+    /// The run or what the member says of itself.
+    Info,
+}
+
+impl MemberRecord {
+    /// Merges state of the same or a higher incarnation, without info.
+    ///
+    /// The order is total for each incarnation: the higher heartbeat wins, and for the same
+    /// heartbeat the higher liveness. Leaving is kept. So the result does not depend on the order
+    /// in which datagrams arrive, nor on doubled ones.
+    pub(crate) fn merge_state(
+        &mut self,
+        (beat, liveness): (u64, Liveness),
+        leaving: bool,
+        faults: Faults,
+    ) -> Merge {
+        let newer = (beat, liveness) > (self.beat, self.liveness);
+        let leaves = leaving && !self.leaving;
+        let news = (newer && liveness != self.liveness) || leaves;
+        if newer {
+            (self.beat, self.liveness) = (beat, liveness);
+        }
+        if faults.has(MembershipFault::LeavingOverwritten) {
+            self.leaving = leaving;
+        } else {
+            self.leaving |= leaving;
+        }
+        if news { Merge::State } else { Merge::Nothing }
+    }
+
+    /// Merges a whole record of the same member.
+    pub(crate) fn merge(&mut self, other: Self, faults: Faults) -> Merge {
+        if other.incarnation < self.incarnation {
+            return Merge::Nothing;
+        }
+        if other.incarnation > self.incarnation {
+            *self = other;
+            return Merge::Info;
+        }
+        let state = (other.beat, other.liveness);
+        let merge = self.merge_state(state, other.leaving, faults);
+        if other.info.detail_version > self.info.detail_version {
+            self.info = other.info;
+            return Merge::Info;
+        }
+        merge
+    }
+}
--- a/crates/coriandercove_state/src/membership/settings.rs
+++ b/crates/coriandercove_state/src/membership/settings.rs
@@ -28,8 +28,14 @@
     pub forget_unreachable: Duration,
     /// Time for which a forgotten incarnation is not listed again.
     pub remember_forgotten: Duration,
+    /// Time after start within which a higher known incarnation is taken for the effect of a wall
+    /// clock that stepped back; later it means that another run has taken over.
+    pub adopt_window: Duration,
     /// Largest encoded digest, in bytes.
     pub digest_bytes: usize,
+    /// Largest encoded datagram that carries whole records, which are needed after starts and
+    /// changes only; below the usual MTU.
+    pub datagram_bytes: usize,
     /// Bytes a second that the machine may send, overhead included.
     pub budget: usize,
     /// Bytes that headers and authentication add to each datagram.
@@ -50,8 +56,10 @@
             partition_window: Duration::from_secs(5),
             forget_dead: Duration::from_secs(600),
             forget_unreachable: Duration::from_secs(24 * 3600),
-            remember_forgotten: Duration::from_secs(3600),
-            digest_bytes: 400,
+            remember_forgotten: Duration::from_secs(24 * 3600),
+            adopt_window: Duration::from_secs(60),
+            digest_bytes: 250,
+            datagram_bytes: 1200,
             budget: 1800,
             overhead: 28,
         }
