--- a/crates/coriandercove_agent/src/runtime.rs
+++ b/crates/coriandercove_agent/src/runtime.rs
@@ -12,6 +12,7 @@
 use coriandercove_base::{Clock, MonotonicClock};
 use coriandercove_peer::link::Shaper;
 use coriandercove_peer::{Address, ClusterKey, Frame, LinkConfig, Links, PeerInfo};
+use coriandercove_state::ticket::{TicketLimits, TicketTable};
 use coriandercove_target::{Engine, Service};
 use slog::Logger;
 
@@ -112,10 +113,10 @@
 pub(crate) struct Inner {
     own: PeerInfo,
     clock: MonotonicClock,
-    log: Logger,
     stages: RefCell<Stages>,
     driver: OnceCell<Rc<EngineDriver>>,
     service: Option<Rc<dyn Service>>,
+    tickets: RefCell<TicketTable>,
     links: OnceCell<Links>,
     calls: Cell<usize>,
     max_calls: usize,
@@ -155,10 +156,14 @@
         let inner = Rc::new(Inner {
             own: own.clone(),
             clock: MonotonicClock::default(),
-            log: log.clone(),
             stages: RefCell::new(Stages::new(cfg.stages)),
             driver: OnceCell::new(),
             service,
+            tickets: RefCell::new(TicketTable::new(
+                own.node.clone(),
+                own.incarnation,
+                TicketLimits::default(),
+            )),
             links: OnceCell::new(),
             calls: Cell::new(0),
             max_calls: cfg.max_calls,
--- a/crates/coriandercove_agent/src/runtime/handler.rs
+++ b/crates/coriandercove_agent/src/runtime/handler.rs
@@ -42,6 +42,7 @@
                 agent.stages.borrow_mut().cancel(now, req, attempt);
             }
             Frame::Call(call) => agent.call(from.address(), *call),
+            Frame::Probe { req, ticket } => agent.probe(&from.address(), req, &ticket),
             _ => count(&agent.dropped, "reason", "unexpected"),
         }
         agent.flush();
--- a/crates/coriandercove_agent/src/runtime/service.rs
+++ b/crates/coriandercove_agent/src/runtime/service.rs
@@ -1,10 +1,14 @@
 //! Calls to the plain service beside the agent.
 
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::SystemTime;
 
 use coriandercove_base::telemetry::count;
+use coriandercove_base::{Clock, RequestId, TicketId};
 use coriandercove_peer::{Address, Call, CallOutcome, CallReply, Frame, OpenStage};
-use coriandercove_target::{Service, ServiceCall, ServiceError};
+use coriandercove_state::ticket::{Accept, Answer, NotRunReason, Ticket, TicketReply};
+use coriandercove_target::{Service, ServiceAnswer, ServiceCall, ServiceError};
 
 use super::Inner;
 
@@ -20,23 +24,119 @@
 
     /// Runs a call and answers the entry.
     pub(super) fn call(self: &Rc<Self>, from: Address, call: Call) {
-        match self.refusal() {
-            Some(reason) => {
-                count(&self.refused, "reason", reason);
+        let refusal = self.refusal();
+        if let Some(reason) = refusal {
+            count(&self.refused, "reason", reason);
+        }
+        match (call.ticket.clone(), refusal, self.service.clone()) {
+            (Some(ticket), Some(reason), _) => {
+                let reason = ticket_reason(reason);
+                let reply = self.tickets.borrow_mut().refuse(wall_ms(), &ticket, reason);
+                self.reply_ticket(&from, call.req, ticket.id, false, reply);
+            }
+            (None, Some(reason), _) => {
                 let outcome = CallOutcome::Refused {
                     reason: reason.to_owned(),
                 };
                 self.reply(&from, call.req, outcome);
             }
-            None => {
-                if let Some(service) = self.service.clone() {
-                    self.calls.set(self.calls.get() + 1);
-                    actix_rt::spawn(Rc::clone(self).run_call(service, from, call));
-                }
+            (Some(ticket), None, Some(service)) => self.call_once(service, from, call, &ticket),
+            (None, None, Some(service)) => {
+                self.calls.set(self.calls.get() + 1);
+                actix_rt::spawn(Rc::clone(self).run_call(service, from, call));
+            }
+            (_, None, None) => {}
+        }
+    }
+
+    /// Runs a call that must not repeat, if its ticket allows it.
+    fn call_once(
+        self: &Rc<Self>,
+        service: Rc<dyn Service>,
+        from: Address,
+        call: Call,
+        ticket: &Ticket,
+    ) {
+        let now = self.clock.now();
+        let deadline = now + call.deadline;
+        let accept = self
+            .tickets
+            .borrow_mut()
+            .accept(now, wall_ms(), ticket, deadline);
+        match accept {
+            Accept::Reply(reply) => self.reply_ticket(&from, call.req, ticket.id, false, reply),
+            Accept::Run => {
+                self.calls.set(self.calls.get() + 1);
+                let agent = Rc::clone(self);
+                actix_rt::spawn(agent.run_once(service, from, call, ticket.id));
+            }
+        }
+    }
+
+    async fn run_once(
+        self: Rc<Self>,
+        service: Rc<dyn Service>,
+        from: Address,
+        call: Call,
+        ticket: TicketId,
+    ) {
+        let req = call.req;
+        let started = self.tickets.borrow_mut().start(self.clock.now(), ticket);
+        let reply = match started {
+            Err(reply) => reply,
+            Ok(()) => {
+                let result = service.call(service_call(call)).await;
+                self.settle(ticket, result)
+            }
+        };
+        self.calls.set(self.calls.get() - 1);
+        self.reply_ticket(&from, req, ticket, false, reply);
+    }
+
+    fn settle(&self, ticket: TicketId, result: Result<ServiceAnswer, ServiceError>) -> TicketReply {
+        let mut tickets = self.tickets.borrow_mut();
+        match result {
+            Ok(answer) => {
+                let body = Some(Arc::from(&answer.body[..]));
+                tickets.finish(
+                    ticket,
+                    Some(Answer {
+                        status: answer.status,
+                        body,
+                    }),
+                )
             }
+            Err(e) if e.may_have_run() => tickets.finish(ticket, None),
+            // No connection was made, so the call did not reach the service.
+            Err(_) => tickets.withdraw_running(ticket),
         }
     }
 
+    /// Says what became of a ticket, and burns it if it has never been seen.
+    pub(super) fn probe(&self, from: &Address, req: RequestId, ticket: &Ticket) {
+        let reply = self.tickets.borrow_mut().probe(wall_ms(), ticket);
+        self.reply_ticket(from, req, ticket.id, true, reply);
+    }
+
+    fn reply_ticket(
+        &self,
+        to: &Address,
+        req: RequestId,
+        ticket: TicketId,
+        probe: bool,
+        reply: TicketReply,
+    ) {
+        self.send(
+            to,
+            Frame::TicketReply {
+                req,
+                ticket,
+                probe,
+                reply,
+            },
+        );
+    }
+
     fn refusal(&self) -> Option<&'static str> {
         if self.service.is_none() {
             Some("not_a_service")
@@ -56,7 +156,7 @@
         self.reply(&from, req, outcome(result));
     }
 
-    fn reply(&self, to: &Address, req: coriandercove_base::RequestId, outcome: CallOutcome) {
+    fn reply(&self, to: &Address, req: RequestId, outcome: CallOutcome) {
         self.send(to, Frame::CallReply(Box::new(CallReply { req, outcome })));
     }
 }
@@ -72,7 +172,7 @@
     }
 }
 
-fn outcome(result: Result<coriandercove_target::ServiceAnswer, ServiceError>) -> CallOutcome {
+fn outcome(result: Result<ServiceAnswer, ServiceError>) -> CallOutcome {
     match result {
         Ok(answer) => CallOutcome::Answer {
             status: answer.status,
@@ -87,3 +187,16 @@
         },
     }
 }
+
+const fn ticket_reason(reason: &str) -> NotRunReason {
+    match reason.as_bytes() {
+        b"leaving" => NotRunReason::Leaving,
+        _ => NotRunReason::Overloaded,
+    }
+}
+
+/// Wall clock in milliseconds since 1970.
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- a/crates/coriandercove_agent/src/stage.rs
+++ b/crates/coriandercove_agent/src/stage.rs
@@ -448,6 +448,7 @@
     match error {
         ItemError::OutOfMemory => StageFailureReason::OutOfMemory,
         ItemError::LayerNotHeld => StageFailureReason::LayerNotHeld,
+        ItemError::Failed => StageFailureReason::Engine,
         ItemError::StaleEpoch
         | ItemError::PositionGap { .. }
         | ItemError::PositionRepeat { .. }
--- /dev/null
+++ b/crates/coriandercove_cli/src/dev.rs
@@ -0,0 +1,71 @@
+//! `coriandercove dev`: a whole deployment in one process on loopback.
+
+use std::io::Write;
+
+use coriandercove_local::{Deployment, DeploymentError, Plan};
+
+/// Arguments of `dev`.
+#[derive(Debug, clap::Args)]
+pub struct DevArgs {
+    /// Port of the first entry for callers; the others follow. 0 lets the system choose.
+    #[arg(long, default_value_t = 8080)]
+    port: u16,
+    /// Seed of all random choices.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+/// Runs a deployment until SIGINT or SIGTERM.
+///
+/// # Errors
+/// [`DeploymentError`] if a part does not start.
+pub fn run(args: &DevArgs, out: &mut dyn Write) -> Result<(), DeploymentError> {
+    let plan = Plan {
+        first_port: args.port,
+        seed: args.seed,
+        ..Plan::small()
+    };
+    let deployment = Deployment::start(plan)?;
+    // Without a reader of its output the deployment still runs.
+    let _ = out.write_all(banner(&deployment).as_bytes());
+    let _ = out.flush();
+    actix_rt::System::new().block_on(ended_by_signal());
+    deployment.drain();
+    Ok(())
+}
+
+fn banner(deployment: &Deployment) -> String {
+    let key = deployment.caller_key();
+    let plan = deployment.plan();
+    let mut out = String::from("ready\n");
+    let Some(entry) = deployment.entries.first() else {
+        return out;
+    };
+    let url = format!("http://{}", entry.callers);
+    out += &format!(
+        "curl -N {url}/v1/completions -H 'Authorization: Bearer {key}' \
+         -H 'Content-Type: application/json' \
+         -d '{{\"model\":\"{}\",\"prompt\":\"a border of blue tesserae\",\"max_tokens\":16,\"stream\":true}}'\n",
+        plan.model
+    );
+    out += &format!(
+        "curl {url}/services/{}/bookings -H 'Authorization: Bearer {key}' \
+         -H 'Content-Type: application/json' -d '{{\"slot\":\"monday\"}}'\n",
+        plan.service
+    );
+    out
+}
+
+async fn ended_by_signal() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (Ok(mut interrupt), Ok(mut terminate)) = (
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::terminate()),
+    ) else {
+        return;
+    };
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+}
--- a/crates/coriandercove_entry/src/core.rs
+++ b/crates/coriandercove_entry/src/core.rs
@@ -130,7 +130,7 @@
                 tokens_per_second: Some(account.quota_tokens_per_second as f64),
                 burst: account.burst_tokens as f64,
             };
-            self.admission.set_limits(&account.name, limits, now);
+            self.admission.set_limits(&account.name, limits);
         }
         self.update_slots();
     }
@@ -138,7 +138,7 @@
     /// Sets the live entries, this one included; quotas and slots are split among them.
     pub fn set_entries(&mut self, now: Time, entries: &[NodeId]) {
         self.router.set_entries(entries.len());
-        self.admission.set_entries(entries, now);
+        self.admission.set_entries(entries);
         self.update_slots();
     }
 
@@ -259,7 +259,7 @@
 
     /// The caller went away.
     pub fn cancel(&mut self, now: Time, req: RequestId) {
-        self.admission.cancel(req);
+        self.admission.cancel(now, req);
         if let Some(stream) = self.streams.remove(&req) {
             self.end(now, stream);
         }
--- a/crates/coriandercove_entry/src/core/recovery.rs
+++ b/crates/coriandercove_entry/src/core/recovery.rs
@@ -189,7 +189,7 @@
     /// Ends a stream without a whole answer.
     fn give_up(&mut self, now: Time, req: RequestId, reason: RefusalReason) {
         if let Some(stream) = self.streams.remove(&req) {
-            self.admission.cancel(req);
+            self.admission.cancel(now, req);
             self.end(now, stream);
             self.refuse(req, reason, DOWN_FOR);
         }
--- a/crates/coriandercove_entry/src/http/completion.rs
+++ b/crates/coriandercove_entry/src/http/completion.rs
@@ -119,7 +119,9 @@
     match started.await {
         Ok(Started::Streaming) => {
             let body = TokenBody::new(rx, guard);
-            response("text/event-stream", id).body(body).map_into_boxed_body()
+            response("text/event-stream", id)
+                .body(body)
+                .map_into_boxed_body()
         }
         Ok(Started::Whole(json)) => response("application/json", id)
             .body(json)
--- a/crates/coriandercove_entry/src/http/reply.rs
+++ b/crates/coriandercove_entry/src/http/reply.rs
@@ -79,6 +79,7 @@
         RefusalReason::DeadlinePassed => 504,
         RefusalReason::AttemptsFailed | RefusalReason::OutcomeUnknown => 502,
         RefusalReason::Cancelled => 499,
+        RefusalReason::DuplicateRequest => 409,
         _ => 503,
     }
 }
@@ -100,5 +101,6 @@
         RefusalReason::AttemptsFailed => "all attempts failed",
         RefusalReason::OutcomeUnknown => "the outcome is not known",
         RefusalReason::Cancelled => "the caller went away",
+        RefusalReason::DuplicateRequest => "the request is in progress already",
     }
 }
--- a/crates/coriandercove_entry/src/http/service.rs
+++ b/crates/coriandercove_entry/src/http/service.rs
@@ -8,6 +8,8 @@
 use coriandercove_caller::Outcome;
 use coriandercove_config::Repeat;
 use coriandercove_peer::{Call, CallOutcome};
+use coriandercove_state::once::{Doubt, Outcome as OnceOutcome, Refusal};
+use coriandercove_state::ticket::{NotRunReason, UnknownReason};
 
 use super::completion::deadline;
 use super::reply::refusal;
@@ -15,6 +17,10 @@
 use super::{Authenticated, REQUEST_ID_HEADER, id_text};
 use crate::runtime::Inner;
 
+/// Header with the caller's idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+/// Longest idempotency key, in bytes.
+const MAX_KEY: usize = 255;
 /// Headers that concern one connection and are not passed on, beside the ones that only
 /// this entry needs.
 const NOT_PASSED: [&str; 12] = [
@@ -59,6 +65,12 @@
             return refusal(&entry, id, 400, "bad_header", Outcome::NotRun, &message);
         }
     };
+    let key = match key(req) {
+        Ok(key) => key,
+        Err(message) => {
+            return refusal(&entry, id, 400, "bad_header", Outcome::NotRun, &message);
+        }
+    };
     let body = match read_body(req, entry.max_body).await {
         Ok(body) => body,
         Err(e) => return refusal(&entry, id, e.status, e.reason, Outcome::NotRun, &e.message),
@@ -76,7 +88,10 @@
     };
     match repeat {
         Repeat::Repeatable => answer(&entry, id, entry.call_repeatable(call).await),
-        Repeat::Once => answer(&entry, id, entry.call_once(call).await),
+        Repeat::Once => {
+            let outcome = entry.call_once(call, key).await;
+            once_answer(&entry, id, outcome)
+        }
     }
 }
 
@@ -109,6 +124,94 @@
     headers
 }
 
+/// The caller's idempotency key.
+fn key(req: &Request) -> Result<Option<String>, String> {
+    let Some(value) = req.headers().get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    let key = value
+        .to_str()
+        .ok()
+        .map(str::trim)
+        .filter(|k| (1..=MAX_KEY).contains(&k.len()));
+    key.map(|key| Some(key.to_owned())).ok_or_else(|| {
+        format!("header `{KEY_HEADER}`: not a key; 1 to {MAX_KEY} printable ASCII characters are allowed")
+    })
+}
+
+/// Writes the outcome of a call that must not repeat.
+fn once_answer(entry: &Inner, id: u128, outcome: OnceOutcome) -> Response<BoxBody> {
+    match outcome {
+        OnceOutcome::Answer { answer, replayed } => {
+            let mut headers = vec![("content-type".to_owned(), "application/json".to_owned())];
+            if replayed {
+                headers.push(("idempotency-replayed".to_owned(), "true".to_owned()));
+            }
+            let body = answer
+                .body
+                .map(|b| Bytes::copy_from_slice(&b))
+                .unwrap_or_default();
+            pass_on(id, answer.status, &headers, body)
+        }
+        OnceOutcome::NotRun(reason) => {
+            let (status, reason) = not_run(reason);
+            refusal(
+                entry,
+                id,
+                status,
+                reason,
+                Outcome::NotRun,
+                "the call did not run",
+            )
+        }
+        OnceOutcome::Unknown(doubt) => {
+            let message = "the call may have run; ask at `GET /v1/requests/{key}` later";
+            refusal(
+                entry,
+                id,
+                502,
+                doubt_reason(doubt),
+                Outcome::Unknown,
+                message,
+            )
+        }
+        OnceOutcome::InProgress => {
+            let message = "a call with this idempotency key is in progress";
+            refusal(entry, id, 409, "in_progress", Outcome::Unknown, message)
+        }
+        OnceOutcome::KeyReused => {
+            let message = "the idempotency key was used for another call";
+            refusal(entry, id, 422, "key_reused", Outcome::NotRun, message)
+        }
+    }
+}
+
+const fn not_run(reason: Refusal) -> (u16, &'static str) {
+    match reason {
+        Refusal::StoreUnavailable | Refusal::ClaimNotReplaced => (503, "store_unavailable"),
+        Refusal::NoTarget => (503, "no_target"),
+        Refusal::Deadline => (504, "deadline_passed"),
+        Refusal::Overloaded => (503, "overloaded"),
+        Refusal::Agent(NotRunReason::Leaving) => (503, "leaving"),
+        Refusal::Agent(NotRunReason::Deadline) => (504, "deadline_passed"),
+        Refusal::Agent(NotRunReason::Unreachable) => (503, "target_unreachable"),
+        Refusal::Agent(NotRunReason::Overloaded) => (503, "overloaded"),
+        Refusal::Agent(NotRunReason::Burned) => (503, "superseded"),
+    }
+}
+
+const fn doubt_reason(doubt: Doubt) -> &'static str {
+    match doubt {
+        Doubt::NoAnswer => "no_answer",
+        Doubt::ClaimUnsettled => "claim_unsettled",
+        Doubt::AgentUnreachable => "agent_unreachable",
+        Doubt::Agent(UnknownReason::OtherIncarnation) => "agent_restarted",
+        Doubt::Agent(UnknownReason::Forgotten) => "ticket_forgotten",
+        Doubt::Agent(UnknownReason::Failed) => "target_answer_lost",
+        Doubt::Recorded => "outcome_unknown",
+    }
+}
+
 fn answer(entry: &Inner, id: u128, outcome: CallOutcome) -> Response<BoxBody> {
     match outcome {
         CallOutcome::Answer {
--- a/crates/coriandercove_entry/src/runtime.rs
+++ b/crates/coriandercove_entry/src/runtime.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod handler;
+mod once;
 mod waiter;
 
 use std::cell::{Cell, OnceCell, RefCell};
@@ -17,6 +18,7 @@
 use coriandercove_config::{Config, Pipeline};
 use coriandercove_peer::link::Shaper;
 use coriandercove_peer::{Address, ClusterKey, Frame, LinkConfig, Links, PeerInfo};
+use coriandercove_state::once::OnceSettings;
 use slog::Logger;
 
 use crate::core::{Core, CoreAction, CoreConfig, StreamSpec};
@@ -25,6 +27,8 @@
 use crate::view::ConfigView;
 use calls::Calls;
 use handler::Handler;
+use once::OnceCalls;
+pub use once::{ClaimStore, NoStore};
 pub(crate) use waiter::{Started, Waiter};
 
 /// How often waiting requests, stalls and deadlines are checked.
@@ -46,6 +50,7 @@
     drain_deadline: Duration,
     seed: Option<u64>,
     shaper: Option<Rc<dyn Shaper>>,
+    store: Rc<dyn ClaimStore>,
     log: Logger,
     metrics: Metrics,
 }
@@ -65,6 +70,7 @@
             drain_deadline: Duration::from_secs(30),
             seed: None,
             shaper: None,
+            store: Rc::new(NoStore),
             log,
             metrics: Metrics::default(),
         }
@@ -98,6 +104,13 @@
         self
     }
 
+    /// Sets the store for claims. Without one, keyed calls that must not repeat are refused.
+    #[must_use]
+    pub fn with_store(mut self, store: Rc<dyn ClaimStore>) -> Self {
+        self.store = store;
+        self
+    }
+
     /// Seeds the choices, for tests and measurements.
     #[must_use]
     pub const fn with_seed(mut self, seed: u64) -> Self {
@@ -125,6 +138,7 @@
     view: RefCell<Option<Rc<ConfigView>>>,
     waiters: RefCell<HashMap<RequestId, Waiter>>,
     calls: Calls,
+    once: OnceCalls,
     links: OnceCell<Links>,
     ids: RefCell<Rng>,
     leaving: Cell<bool>,
@@ -150,6 +164,7 @@
         let timers = TimerService::start();
         let metrics = cfg.metrics.clone();
         let mut choices = cfg.seed.map_or_else(rng::from_os, rng::seeded);
+        let tickets = rng::fork(&mut choices);
         let ids = cfg
             .seed
             .map_or_else(rng::from_os, |seed| rng::seeded(!seed));
@@ -179,6 +194,7 @@
             view: RefCell::default(),
             waiters: RefCell::default(),
             calls: Calls::default(),
+            once: OnceCalls::new(OnceSettings::default(), tickets, cfg.store),
             links: OnceCell::from(links),
             ids: RefCell::new(ids),
             leaving: Cell::new(false),
@@ -192,6 +208,7 @@
             if let Some(inner) = weak.upgrade() {
                 inner.core.borrow_mut().tick(inner.clock.now());
                 inner.flush();
+                inner.once_tick(inner.clock.now());
             }
         });
         let drain_deadline = cfg.drain_deadline;
@@ -259,7 +276,7 @@
     /// Streams and calls in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
-        self.inner.waiters.borrow().len() + self.inner.calls.len()
+        self.inner.waiters.borrow().len() + self.inner.calls.len() + self.inner.once.len()
     }
 
     /// Accepts no more requests, waits until those in flight have ended, and stops.
--- a/crates/coriandercove_entry/src/runtime/handler.rs
+++ b/crates/coriandercove_entry/src/runtime/handler.rs
@@ -30,6 +30,22 @@
             Frame::Token(token) => entry.core.borrow_mut().token(now, &token),
             Frame::StageFailed(failure) => entry.core.borrow_mut().stage_failed(now, &failure),
             Frame::CallReply(reply) => entry.calls.reply(*reply),
+            Frame::TicketReply {
+                req,
+                ticket,
+                probe: true,
+                reply,
+            } => {
+                entry.probe_done(req, ticket, Some(reply));
+            }
+            Frame::TicketReply {
+                req,
+                ticket,
+                probe: false,
+                reply,
+            } => {
+                entry.ticket_reply(req, ticket, reply);
+            }
             _ => count(&entry.dropped, "reason", "unexpected"),
         }
         entry.flush();
@@ -41,6 +57,7 @@
         };
         entry.core.borrow_mut().link_down(entry.clock.now(), node);
         entry.calls.link_down(node);
+        entry.once_link_down(node);
         entry.flush();
     }
 
@@ -49,8 +66,13 @@
             return;
         };
         for frame in frames {
-            if let Frame::Call(call) = &frame {
-                entry.calls.not_sent(call.req);
+            match &frame {
+                Frame::Call(call) => match &call.ticket {
+                    Some(ticket) => entry.once_not_sent(ticket.id),
+                    None => entry.calls.not_sent(call.req),
+                },
+                Frame::Probe { req, ticket } => entry.probe_done(*req, ticket.id, None),
+                _ => {}
             }
             entry
                 .core
--- /dev/null
+++ b/crates/coriandercove_entry/src/runtime/once.rs
@@ -0,0 +1,312 @@
+//! Calls that must not repeat: carries out what their state machine decides.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use coriandercove_base::rng::Rng;
+use coriandercove_base::{Clock, NodeId, RequestId, TargetId, TicketId, Time};
+use coriandercove_peer::{Address, Call, Frame};
+use coriandercove_state::claim::{fingerprint, key_hash};
+use coriandercove_state::once::{
+    Action, Event, KeyStatus, KeyedBy, OnceEntry, OnceRequest, OnceSettings, Outcome, TargetAgent,
+};
+use coriandercove_state::store_call::{StoreCall, StoreReply};
+use coriandercove_state::ticket::{Ticket, TicketReply};
+use futures_util::future::LocalBoxFuture;
+use tokio::sync::oneshot;
+
+use super::Inner;
+
+/// Time that an agent gets to answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time that a connection to an agent may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The store as claims need it.
+pub trait ClaimStore {
+    /// Makes one call. Its result tells whether a failed write may have taken effect.
+    fn call(&self, call: StoreCall) -> LocalBoxFuture<'static, StoreReply>;
+}
+
+/// A store that never answers, for an entry without one.
+pub struct NoStore;
+
+impl ClaimStore for NoStore {
+    fn call(&self, _: StoreCall) -> LocalBoxFuture<'static, StoreReply> {
+        Box::pin(std::future::ready(StoreReply::Unavailable))
+    }
+}
+
+/// A call with its caller.
+struct Pending {
+    call: Call,
+    /// Targets tried for the call.
+    tried: Vec<TargetId>,
+    /// Taken when the caller is answered; the call is followed until its end is recorded.
+    reply: Option<oneshot::Sender<Outcome>>,
+}
+
+/// Calls that must not repeat.
+pub struct OnceCalls {
+    machine: RefCell<OnceEntry>,
+    store: Rc<dyn ClaimStore>,
+    pending: RefCell<HashMap<RequestId, Pending>>,
+    queries: RefCell<HashMap<RequestId, oneshot::Sender<KeyStatus>>>,
+    /// Dispatched tickets whose agent has not given a final answer.
+    dispatched: RefCell<HashMap<TicketId, (RequestId, NodeId)>>,
+    /// Probes under way.
+    probes: RefCell<HashMap<(RequestId, TicketId), NodeId>>,
+    unanswered: Cell<usize>,
+}
+
+impl OnceCalls {
+    pub fn new(settings: OnceSettings, rng: Rng, store: Rc<dyn ClaimStore>) -> Self {
+        Self {
+            machine: RefCell::new(OnceEntry::new(settings, rng)),
+            store,
+            pending: RefCell::default(),
+            queries: RefCell::default(),
+            dispatched: RefCell::default(),
+            probes: RefCell::default(),
+            unanswered: Cell::new(0),
+        }
+    }
+
+    /// Callers that wait for an answer.
+    pub const fn len(&self) -> usize {
+        self.unanswered.get()
+    }
+}
+
+impl Inner {
+    /// Runs a call at most once.
+    pub async fn call_once(self: &Rc<Self>, call: Call, key: Option<String>) -> Outcome {
+        let req = call.req;
+        let service: Arc<str> = call.service.as_str().into();
+        let key = key.map(|key| KeyedBy {
+            key: key_hash(&call.account, &key),
+            fingerprint: fingerprint(&call.method, &call.path, &call.body),
+        });
+        let deadline = self.clock.now() + call.deadline;
+        let (tx, rx) = oneshot::channel();
+        let pending = Pending {
+            call,
+            tried: Vec::new(),
+            reply: Some(tx),
+        };
+        self.once.pending.borrow_mut().insert(req, pending);
+        self.once.unanswered.set(self.once.unanswered.get() + 1);
+        self.once_event(Event::Start(OnceRequest {
+            req,
+            service,
+            key,
+            deadline,
+        }));
+        let outcome = rx.await;
+        self.once.unanswered.set(self.once.unanswered.get() - 1);
+        outcome.unwrap_or(Outcome::Unknown(coriandercove_state::once::Doubt::NoAnswer))
+    }
+
+    /// Asks for the state of a key of a client account.
+    pub async fn key_status(self: &Rc<Self>, service: &str, account: &str, key: &str) -> KeyStatus {
+        let req = self.next_request_id();
+        let (tx, rx) = oneshot::channel();
+        self.once.queries.borrow_mut().insert(req, tx);
+        let key = key_hash(account, key);
+        self.once_event(Event::Query {
+            req,
+            service: service.into(),
+            key,
+        });
+        rx.await.unwrap_or(KeyStatus::StoreUnavailable)
+    }
+
+    /// Takes an event and carries out what it leads to.
+    pub(super) fn once_event(self: &Rc<Self>, event: Event) {
+        let now = self.clock.now();
+        let actions = self
+            .once
+            .machine
+            .borrow_mut()
+            .on_event(now, wall_ms(), event);
+        for action in actions {
+            self.once_action(action);
+        }
+    }
+
+    /// Lets time pass for the state machine.
+    pub(super) fn once_tick(self: &Rc<Self>, now: Time) {
+        let wake = self.once.machine.borrow().next_wake();
+        if wake.is_some_and(|wake| wake <= now) {
+            self.once_event(Event::Tick);
+        }
+    }
+
+    fn once_action(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Store { op, call } => {
+                let result = self.once.store.call(call);
+                let entry = Rc::clone(self);
+                actix_rt::spawn(async move {
+                    let reply = result.await;
+                    entry.once_event(Event::Store { op, reply });
+                });
+            }
+            Action::ChooseTarget { req } => {
+                let entry = Rc::clone(self);
+                actix_rt::spawn(async move {
+                    let target = entry.choose_target(req).await;
+                    entry.once_event(Event::Target { req, target });
+                });
+            }
+            Action::Dispatch { req, ticket } => self.dispatch_once(req, ticket),
+            Action::Probe { req, ticket } => self.probe(req, ticket),
+            Action::Reply { req, outcome } => self.reply_once(req, outcome),
+            Action::Status { req, status } => {
+                if let Some(tx) = self.once.queries.borrow_mut().remove(&req) {
+                    // The caller may have gone away meanwhile.
+                    let _ = tx.send(status);
+                }
+            }
+        }
+    }
+
+    /// An agent that can be reached, with its present incarnation.
+    async fn choose_target(&self, req: RequestId) -> Option<TargetAgent> {
+        loop {
+            let to = self.next_replica(req)?;
+            let links = self.links.get()?;
+            let connected = tokio::time::timeout(CONNECT_TIMEOUT, links.connect(&to)).await;
+            if let Ok(Some(peer)) = connected {
+                return Some(TargetAgent {
+                    node: peer.node,
+                    incarnation: peer.incarnation,
+                });
+            }
+        }
+    }
+
+    fn next_replica(&self, req: RequestId) -> Option<Address> {
+        let mut pending = self.once.pending.borrow_mut();
+        let pending = pending.get_mut(&req)?;
+        let mut core = self.core.borrow_mut();
+        let to = core
+            .router_mut()
+            .choose_replica(&pending.call.service, &pending.tried)?;
+        pending.tried.push(to.node.clone());
+        Some(to)
+    }
+
+    fn dispatch_once(self: &Rc<Self>, req: RequestId, ticket: Ticket) {
+        let (id, node) = (ticket.id, ticket.node.clone());
+        let call = self.once.pending.borrow().get(&req).map(|p| p.call.clone());
+        let to = self.core.borrow_mut().router_mut().address(&node);
+        let (Some(mut call), Some(to)) = (call, to) else {
+            return self.once_event(Event::NotSent { req, ticket: id });
+        };
+        call.ticket = Some(ticket);
+        self.once.dispatched.borrow_mut().insert(id, (req, node));
+        let sent = self
+            .links
+            .get()
+            .map(|links| links.send(&to, Frame::Call(Box::new(call))));
+        if !matches!(sent, Some(Ok(()))) {
+            self.once_not_sent(id);
+        }
+    }
+
+    /// A dispatch never left this process.
+    pub(super) fn once_not_sent(self: &Rc<Self>, ticket: TicketId) {
+        let dispatched = self.once.dispatched.borrow_mut().remove(&ticket);
+        if let Some((req, _)) = dispatched {
+            self.once_event(Event::NotSent { req, ticket });
+        }
+    }
+
+    fn probe(self: &Rc<Self>, req: RequestId, ticket: Ticket) {
+        let (id, node) = (ticket.id, ticket.node.clone());
+        let to = self.core.borrow_mut().router_mut().address(&node);
+        self.once.probes.borrow_mut().insert((req, id), node);
+        let links = self.links.get();
+        let sent = to
+            .zip(links)
+            .map(|(to, links)| links.send(&to, Frame::Probe { req, ticket }));
+        if !matches!(sent, Some(Ok(()))) {
+            return self.probe_done(req, id, None);
+        }
+        let entry = Rc::clone(self);
+        actix_rt::spawn(async move {
+            tokio::time::sleep(PROBE_TIMEOUT).await;
+            entry.probe_done(req, id, None);
+        });
+    }
+
+    /// A probe was answered, or it failed. Later answers to the same probe are ignored.
+    pub(super) fn probe_done(
+        self: &Rc<Self>,
+        req: RequestId,
+        ticket: TicketId,
+        reply: Option<TicketReply>,
+    ) {
+        let waiting = self.once.probes.borrow_mut().remove(&(req, ticket));
+        if waiting.is_some() {
+            self.once_event(Event::Probed { req, ticket, reply });
+        }
+    }
+
+    /// An agent says what became of a dispatched ticket.
+    pub(super) fn ticket_reply(
+        self: &Rc<Self>,
+        req: RequestId,
+        ticket: TicketId,
+        reply: TicketReply,
+    ) {
+        if reply != TicketReply::Running {
+            self.once.dispatched.borrow_mut().remove(&ticket);
+        }
+        self.once_event(Event::Agent { req, ticket, reply });
+    }
+
+    /// The link to an agent failed; its calls may have run.
+    pub(super) fn once_link_down(self: &Rc<Self>, node: &NodeId) {
+        let dispatched: Vec<_> = {
+            let all = self.once.dispatched.borrow();
+            all.iter()
+                .filter(|(_, (_, n))| n == node)
+                .map(|(t, (r, _))| (*t, *r))
+                .collect()
+        };
+        for (ticket, req) in dispatched {
+            self.once.dispatched.borrow_mut().remove(&ticket);
+            self.once_event(Event::LinkLost { req, ticket });
+        }
+        let probes: Vec<_> = {
+            let all = self.once.probes.borrow();
+            all.iter()
+                .filter(|(_, n)| *n == node)
+                .map(|(probe, _)| *probe)
+                .collect()
+        };
+        for (req, ticket) in probes {
+            self.probe_done(req, ticket, None);
+        }
+    }
+
+    fn reply_once(&self, req: RequestId, outcome: Outcome) {
+        if let Some(mut pending) = self.once.pending.borrow_mut().remove(&req) {
+            if let Some(tx) = pending.reply.take() {
+                // The caller may have gone away meanwhile.
+                let _ = tx.send(outcome);
+            }
+        }
+    }
+}
+
+/// Wall clock in milliseconds since 1970.
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/coriandercove_local/src/agent.rs
@@ -0,0 +1,102 @@
+//! An agent with the stand-in of its target.
+
+use std::rc::Rc;
+use std::time::SystemTime;
+
+use coriandercove_agent::{Agent, AgentConfig, Backend};
+use coriandercove_base::Incarnation;
+use coriandercove_base::http::{HttpClient, HttpLimits};
+use coriandercove_base::telemetry::discard;
+use coriandercove_peer::{ClusterKey, PeerInfo};
+use coriandercove_standin::engine::EngineHandle;
+use coriandercove_standin::service::ServiceHandle;
+use coriandercove_target::{HttpEngine, HttpService};
+
+use crate::role::{Lifecycle, Role, RoleError};
+
+/// The stand-in beside an agent.
+pub enum Standin {
+    /// A model engine.
+    Engine(EngineHandle),
+    /// A plain service.
+    Service(ServiceHandle),
+}
+
+impl Standin {
+    fn url(&self) -> String {
+        match self {
+            Self::Engine(engine) => engine.url(),
+            Self::Service(service) => service.url(),
+        }
+    }
+
+    const fn is_engine(&self) -> bool {
+        matches!(self, Self::Engine(_))
+    }
+
+    /// Ends the stand-in as a crash would.
+    pub fn kill(self) {
+        match self {
+            Self::Engine(engine) => engine.kill(),
+            Self::Service(service) => service.kill(),
+        }
+    }
+}
+
+/// A VM with a target: the agent and the stand-in beside it.
+pub struct AgentRole {
+    /// The agent.
+    pub role: Role<Agent>,
+    /// The stand-in.
+    pub standin: Standin,
+    /// What the agent tells its peers.
+    pub info: PeerInfo,
+}
+
+impl Lifecycle for Agent {
+    async fn drain(self) {
+        Self::drain(self).await;
+    }
+
+    fn kill(self) {
+        self.stop();
+    }
+}
+
+impl AgentRole {
+    /// Starts the agent of a target.
+    ///
+    /// # Errors
+    /// [`RoleError`] if it does not start.
+    pub fn start(own: PeerInfo, key: &ClusterKey, standin: Standin) -> Result<Self, RoleError> {
+        let (url, is_engine, key) = (standin.url(), standin.is_engine(), key.clone());
+        let name = own.node.to_string();
+        let start = move || async move {
+            let client = HttpClient::new(HttpLimits::default());
+            let backend = if is_engine {
+                Backend::Engine(Rc::new(HttpEngine::new(client, &url)))
+            } else {
+                Backend::Service(Rc::new(HttpService::new(client, &url)))
+            };
+            Agent::start(AgentConfig::new(own, key, backend, discard())).await
+        };
+        let (role, info) = Role::start(&name, start, Agent::own)?;
+        Ok(Self {
+            role,
+            standin,
+            info,
+        })
+    }
+
+    /// Ends the VM as a crash would: agent and target.
+    pub fn kill(self) {
+        self.role.kill();
+        self.standin.kill();
+    }
+}
+
+/// An incarnation for a process that starts now.
+pub fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_nanos()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/coriandercove_local/src/deployment.rs
@@ -0,0 +1,310 @@
+//! Starting, changing and ending a local deployment.
+
+use std::net::SocketAddr;
+
+use coriandercove_base::{ConfigVersion, NodeId, ZoneId};
+use coriandercove_config::keys::generate_key;
+use coriandercove_config::{Account, Config, Placement, Site, Target, TargetKind, Zone};
+use coriandercove_peer::{ClusterKey, PeerInfo, Role as PeerRole};
+use coriandercove_standin::engine::{self, CostModel, EngineSettings};
+use coriandercove_standin::service::{self, Effects, ServiceSettings};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use snafu::{ResultExt, Snafu};
+
+use crate::agent::{AgentRole, Standin, incarnation};
+use crate::entry::EntryRole;
+use crate::plan::{EnginePlan, Plan};
+use crate::role::RoleError;
+
+/// Loopback address with a port that the system chooses.
+const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+/// A deployment that could not be started.
+#[derive(Debug, Snafu)]
+pub enum DeploymentError {
+    /// A stand-in did not start.
+    #[snafu(display("cannot start the stand-in {name}: {source}"))]
+    StartStandin {
+        /// Its name.
+        name: String,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A role did not start.
+    #[snafu(display("{source}"))]
+    StartRole {
+        /// Cause.
+        source: RoleError,
+    },
+}
+
+/// A running deployment. Dropping it kills all roles.
+pub struct Deployment {
+    plan: Plan,
+    key: ClusterKey,
+    /// Entries.
+    pub entries: Vec<EntryRole>,
+    /// Agents with their targets, by node id.
+    pub agents: Vec<AgentRole>,
+    /// Effects of all replicas of the plain service.
+    pub effects: Effects,
+    config: Config,
+    version: ConfigVersion,
+    caller_key: String,
+    /// Agents started so far, for the names of new ones.
+    started: usize,
+}
+
+impl Deployment {
+    /// Starts everything that a plan names.
+    ///
+    /// # Errors
+    /// [`DeploymentError`] if a part does not start.
+    pub fn start(plan: Plan) -> Result<Self, DeploymentError> {
+        let key = ClusterKey::from_secret(&format!("local deployment {}", plan.seed));
+        let new_key = generate_key(&mut StdRng::from_os_rng());
+        let mut config = base_config(&plan);
+        let mut account = account("workshop");
+        account.keys.push(new_key.hash);
+        config.accounts.push(account);
+        let mut deployment = Self {
+            key,
+            entries: Vec::new(),
+            agents: Vec::new(),
+            effects: Effects::default(),
+            config,
+            version: 0,
+            caller_key: new_key.key,
+            started: 0,
+            plan,
+        };
+        for engine in deployment.plan.engines.clone() {
+            deployment.add_engine(&engine)?;
+        }
+        for _ in 0..deployment.plan.service_replicas {
+            deployment.add_service()?;
+        }
+        for i in 0..deployment.plan.entries {
+            deployment.add_entry(i)?;
+        }
+        deployment.publish();
+        Ok(deployment)
+    }
+
+    /// Starts an engine with its agent and adds it to the configuration, which takes effect
+    /// with [`Deployment::publish`]. Returns the name of the target.
+    ///
+    /// # Errors
+    /// [`DeploymentError`] if a part does not start.
+    pub fn add_engine(&mut self, engine: &EnginePlan) -> Result<NodeId, DeploymentError> {
+        let name = self.next_name("engine");
+        let settings = engine_settings(&self.plan, engine, self.started as u64);
+        let handle = engine::start(settings).context(StartStandinSnafu { name: &*name })?;
+        let info = self.start_agent(&name, &engine.zone, Standin::Engine(handle))?;
+        let kind = TargetKind::Engine {
+            accelerator: engine.accelerator.clone(),
+        };
+        self.add_target(&info, kind);
+        self.place(&name, engine);
+        Ok(name)
+    }
+
+    fn add_service(&mut self) -> Result<NodeId, DeploymentError> {
+        let name = self.next_name("service");
+        let settings = ServiceSettings {
+            seed: self.started as u64,
+            ..ServiceSettings::default()
+        };
+        let handle = service::start_replica(settings, self.effects.clone())
+            .context(StartStandinSnafu { name: &*name })?;
+        let zone = self.config.zones[self.started % self.config.zones.len()]
+            .name
+            .clone();
+        let info = self.start_agent(&name, &zone, Standin::Service(handle))?;
+        self.add_target(
+            &info,
+            TargetKind::Service {
+                service: self.plan.service.clone(),
+            },
+        );
+        Ok(name)
+    }
+
+    fn next_name(&mut self, kind: &str) -> NodeId {
+        self.started += 1;
+        format!("{kind}-{:03}", self.started).into()
+    }
+
+    fn start_agent(
+        &mut self,
+        name: &NodeId,
+        zone: &ZoneId,
+        standin: Standin,
+    ) -> Result<PeerInfo, DeploymentError> {
+        let own = peer_info(name, zone, PeerRole::Agent);
+        let agent = AgentRole::start(own, &self.key, standin).context(StartRoleSnafu)?;
+        let info = agent.info.clone();
+        self.agents.push(agent);
+        Ok(info)
+    }
+
+    fn add_entry(&mut self, i: usize) -> Result<(), DeploymentError> {
+        let name: NodeId = format!("entry-{}", i + 1).into();
+        let zone = self.config.zones[i % self.config.zones.len()].name.clone();
+        let own = peer_info(&name, &zone, PeerRole::Entry);
+        let mut callers = ANY_PORT;
+        if self.plan.first_port > 0 {
+            callers.set_port(self.plan.first_port + i as u16);
+        }
+        let seed = self.plan.seed.wrapping_mul(1000).wrapping_add(i as u64);
+        let entry = EntryRole::start(own, self.key.clone(), callers, Some(seed));
+        self.entries.push(entry.context(StartRoleSnafu)?);
+        Ok(())
+    }
+
+    fn add_target(&mut self, info: &PeerInfo, kind: TargetKind) {
+        self.config.targets.push(Target {
+            id: info.node.clone(),
+            zone: info.zone.clone(),
+            peer: info.listen,
+            operations: info.listen,
+            kind,
+            checks_orders: true,
+        });
+    }
+
+    fn place(&mut self, target: &NodeId, engine: &EnginePlan) {
+        let same = |p: &&mut Placement| {
+            (p.first_layer, p.end_layer) == (engine.first_layer, engine.end_layer)
+        };
+        match self.config.placements.iter_mut().find(same) {
+            Some(placement) => placement.targets.push(target.clone()),
+            None => self.config.placements.push(Placement {
+                model: self.plan.model.clone(),
+                version: "1".to_owned(),
+                first_layer: engine.first_layer,
+                end_layer: engine.end_layer,
+                targets: vec![target.clone()],
+            }),
+        }
+    }
+
+    /// Puts the configuration in force at all entries.
+    pub fn publish(&mut self) {
+        self.config.sort();
+        self.version += 1;
+        let names: Vec<NodeId> = self
+            .entries
+            .iter()
+            .filter_map(|e| Some(e.address.as_ref()?.node.clone()))
+            .collect();
+        for entry in &self.entries {
+            entry.set_config(self.version, self.config.clone());
+            let names = names.clone();
+            entry.role.run(move |entry| entry.set_entries(&names));
+        }
+    }
+
+    /// Ends the VM of a target as a crash would. The configuration still names it.
+    pub fn kill_target(&mut self, target: &str) {
+        if let Some(i) = self.agents.iter().position(|a| &*a.info.node == target) {
+            self.agents.swap_remove(i).kill();
+        }
+    }
+
+    /// The configuration, to change before [`Deployment::publish`].
+    pub const fn config_mut(&mut self) -> &mut Config {
+        &mut self.config
+    }
+
+    /// The plan that was started.
+    #[must_use]
+    pub const fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// A key of the client account `workshop`.
+    #[must_use]
+    pub fn caller_key(&self) -> &str {
+        &self.caller_key
+    }
+
+    /// Leaves gracefully: entries first, so that no request in flight is cut off.
+    pub fn drain(mut self) {
+        let entries: Vec<_> = self
+            .entries
+            .drain(..)
+            .filter_map(|e| e.role.start_drain())
+            .collect();
+        for thread in entries {
+            // A panic was printed by its thread.
+            let _ = thread.join();
+        }
+        for agent in self.agents.drain(..) {
+            agent.kill();
+        }
+    }
+}
+
+fn peer_info(name: &NodeId, zone: &ZoneId, role: PeerRole) -> PeerInfo {
+    PeerInfo {
+        node: name.clone(),
+        incarnation: incarnation(),
+        zone: zone.clone(),
+        role,
+        listen: ANY_PORT,
+    }
+}
+
+fn engine_settings(plan: &Plan, engine: &EnginePlan, seed: u64) -> EngineSettings {
+    let mut settings = EngineSettings::new(
+        &plan.model,
+        engine.first_layer,
+        engine.end_layer,
+        plan.layers,
+    );
+    settings.info.accelerator.clone_from(&engine.accelerator);
+    if let Some(cost) = CostModel::for_accelerator(&engine.accelerator) {
+        settings.cost = cost;
+    }
+    settings.seed = seed;
+    settings
+}
+
+fn base_config(plan: &Plan) -> Config {
+    let mut zones: Vec<ZoneId> = plan.engines.iter().map(|e| e.zone.clone()).collect();
+    zones.sort();
+    zones.dedup();
+    let mut config = Config {
+        sites: vec![Site {
+            name: "local".to_owned(),
+            region: "local".to_owned(),
+        }],
+        zones: zones
+            .into_iter()
+            .map(|name| Zone {
+                name,
+                site: "local".to_owned(),
+            })
+            .collect(),
+        pipelines: vec![plan.pipeline()],
+        services: vec![plan.service_rules()],
+        ..Config::default()
+    };
+    config.limits.replica_concurrency = plan.concurrency;
+    config
+}
+
+fn account(name: &str) -> Account {
+    Account {
+        name: name.into(),
+        weight: 1,
+        quota_tokens_per_second: 1_000_000,
+        burst_tokens: 10_000_000,
+        concurrency: 4096,
+        priority: 4,
+        keys: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_local/src/entry.rs
@@ -0,0 +1,66 @@
+//! An entry on a thread of its own.
+
+use std::net::SocketAddr;
+
+use coriandercove_base::ConfigVersion;
+use coriandercove_base::telemetry::discard;
+use coriandercove_config::Config;
+use coriandercove_entry::{Entry, EntryConfig};
+use coriandercove_peer::{Address, ClusterKey, PeerInfo};
+
+use crate::role::{Lifecycle, Role, RoleError};
+
+/// An entry on a thread of its own.
+pub struct EntryRole {
+    /// The entry.
+    pub role: Role<Entry>,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where agents reach it.
+    pub address: Option<Address>,
+}
+
+impl Lifecycle for Entry {
+    async fn drain(self) {
+        Self::drain(self).await;
+    }
+
+    fn kill(self) {
+        self.stop();
+    }
+}
+
+impl EntryRole {
+    /// Starts an entry that serves callers at `callers`.
+    ///
+    /// # Errors
+    /// [`RoleError`] if it does not start.
+    pub fn start(
+        own: PeerInfo,
+        key: ClusterKey,
+        callers: SocketAddr,
+        seed: Option<u64>,
+    ) -> Result<Self, RoleError> {
+        let name = own.node.to_string();
+        let start = move || async move {
+            let mut cfg = EntryConfig::new(own, key, callers, discard());
+            if let Some(seed) = seed {
+                cfg = cfg.with_seed(seed);
+            }
+            Entry::start(cfg).await
+        };
+        let describe = |entry: &Entry| (entry.callers(), entry.address());
+        let (role, (callers, address)) = Role::start(&name, start, describe)?;
+        Ok(Self {
+            role,
+            callers,
+            address,
+        })
+    }
+
+    /// Puts a configuration in force.
+    pub fn set_config(&self, version: ConfigVersion, config: Config) {
+        self.role
+            .run(move |entry| entry.set_config(version, config));
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_local/src/lib.rs
@@ -0,0 +1,15 @@
+//! A whole deployment in one process on loopback, for development, tests and measurements.
+//!
+//! Every role runs on a thread of its own with the code that the separate processes run.
+
+mod agent;
+mod deployment;
+mod entry;
+mod plan;
+mod role;
+
+pub use agent::{AgentRole, Standin};
+pub use deployment::{Deployment, DeploymentError};
+pub use entry::EntryRole;
+pub use plan::{EnginePlan, Plan};
+pub use role::{Role, RoleError};
--- a/crates/coriandercove_peer/src/frame.rs
+++ b/crates/coriandercove_peer/src/frame.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use coriandercove_base::{
-    AccountId, Attempt, ConfigVersion, Incarnation, Layer, NodeId, Position, RequestId, TicketId,
-    Token, data,
+    AccountId, Attempt, ConfigVersion, Layer, Position, RequestId, TicketId, Token, data,
 };
+use coriandercove_state::ticket::{Ticket, TicketReply};
 
 use crate::link::Address;
 
@@ -44,20 +44,24 @@
         Call(Box<Call>),
         /// Answer to a call.
         CallReply(Box<CallReply>),
+        /// What an agent says about a call that must not repeat.
+        TicketReply {
+            /// The request of the call or of the probe.
+            req: RequestId,
+            /// The ticket.
+            ticket: TicketId,
+            /// Whether this answers a [`Frame::Probe`].
+            probe: bool,
+            /// What the agent says.
+            reply: TicketReply,
+        },
         /// Asks what became of a ticket and burns it if it has never been seen.
         Probe {
-            /// Request id of the probe.
+            /// The request that asks.
             req: RequestId,
             /// The ticket in question.
             ticket: Ticket,
         },
-        /// Answer to a probe.
-        ProbeReply {
-            /// Request id of the probe.
-            req: RequestId,
-            /// What became of the ticket.
-            outcome: ProbeOutcome,
-        },
         /// The sender leaves and takes no new work.
         Leaving,
         /// Asks for configuration changes after a version.
@@ -186,17 +190,6 @@
         Drained,
     }
 
-    /// A permission to run a call once, for one run of one agent.
-    #[derive(Eq)]
-    pub struct Ticket {
-        /// Identifies the ticket.
-        pub id: TicketId,
-        /// Agent that may run the call.
-        pub node: NodeId,
-        /// Run of the agent; a later run refuses the ticket.
-        pub incarnation: Incarnation,
-    }
-
     /// A call for a plain service.
     pub struct Call {
         /// The request.
@@ -249,18 +242,6 @@
             reason: String,
         },
     }
-
-    /// What became of a ticket.
-    pub enum ProbeOutcome {
-        /// It had not been seen and has been burned: the call did not run and never will.
-        Burned,
-        /// The call is running.
-        Running,
-        /// The call has finished.
-        Done(CallOutcome),
-        /// The agent cannot know, because the ticket belongs to another run of it or is too old.
-        Unknown,
-    }
 }
 
 impl StageFailureReason {
--- a/crates/coriandercove_peer/src/link.rs
+++ b/crates/coriandercove_peer/src/link.rs
@@ -246,6 +246,17 @@
         })
     }
 
+    /// Opens a connection if there is none, and tells which run of the peer it leads to.
+    /// `None` if the peer cannot be reached.
+    pub async fn connect(&self, to: &Address) -> Option<PeerInfo> {
+        if self.inner.closed.get() {
+            return None;
+        }
+        let existing = self.inner.conns.borrow().get(&to.node).cloned();
+        let conn = existing.unwrap_or_else(|| listen::dial(&self.inner, to));
+        conn.wait_up().await
+    }
+
     /// Whether there is an authenticated connection to `node`.
     #[must_use]
     pub fn is_up(&self, node: &str) -> bool {
@@ -288,7 +299,11 @@
     /// the handler hears that the link is down, so that it can tell them from those that may have
     /// arrived.
     fn retire(&self, peer: &Address, conn: &Rc<Conn>) {
-        let in_use = self.conns.borrow().get(&peer.node).is_some_and(|c| Rc::ptr_eq(c, conn));
+        let in_use = self
+            .conns
+            .borrow()
+            .get(&peer.node)
+            .is_some_and(|c| Rc::ptr_eq(c, conn));
         if in_use {
             self.conns.borrow_mut().remove(&peer.node);
         }
--- a/crates/coriandercove_peer/src/link/conn.rs
+++ b/crates/coriandercove_peer/src/link/conn.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::{Inner, Passage};
+use super::{Inner, Passage, PeerInfo};
 use crate::codec::{Opener, Sealer};
 use crate::frame::Frame;
 use crate::handshake::Session;
@@ -33,7 +33,11 @@
     queue: RefCell<VecDeque<(Instant, Frame)>>,
     wake: Notify,
     closing: Notify,
-    up: Cell<bool>,
+    /// Wakes those that wait for the connection to be up or to have failed.
+    settled: Notify,
+    /// The peer, once authenticated and until the connection closes.
+    peer: RefCell<Option<PeerInfo>>,
+    failed: Cell<bool>,
     last_received: Cell<Instant>,
     last_sent: Cell<Instant>,
     /// When the ping went out that has not been answered yet.
@@ -48,7 +52,9 @@
             queue: RefCell::default(),
             wake: Notify::new(),
             closing: Notify::new(),
-            up: Cell::new(false),
+            settled: Notify::new(),
+            peer: RefCell::default(),
+            failed: Cell::new(false),
             last_received: Cell::new(now),
             last_sent: Cell::new(now),
             pinged: Cell::new(None),
@@ -76,7 +82,30 @@
     }
 
     pub fn is_up(&self) -> bool {
-        self.up.get()
+        self.peer.borrow().is_some()
+    }
+
+    /// The peer, if the connection is up.
+    pub fn peer(&self) -> Option<PeerInfo> {
+        self.peer.borrow().clone()
+    }
+
+    /// Waits until the connection is up; `None` if it fails.
+    pub async fn wait_up(&self) -> Option<PeerInfo> {
+        loop {
+            let settled = self.settled.notified();
+            if self.failed.get() || self.is_up() {
+                return self.peer();
+            }
+            settled.await;
+        }
+    }
+
+    /// Marks the connection as closed or as never opened.
+    pub fn fail(&self) {
+        self.failed.set(true);
+        self.peer.borrow_mut().take();
+        self.settled.notify_waiters();
     }
 
     pub fn close(&self) {
@@ -96,7 +125,7 @@
     pub fn check_silence(&self, silence: Duration) -> bool {
         let now = Instant::now();
         let paused = now - self.last_check.replace(now) > PAUSED;
-        if paused || !self.up.get() || now - self.last_sent.get() > IN_USE {
+        if paused || !self.is_up() || now - self.last_sent.get() > IN_USE {
             self.pinged.set(None);
             return false;
         }
@@ -125,19 +154,20 @@
         let now = Instant::now();
         self.last_received.set(now);
         self.last_check.set(now);
-        self.up.set(true);
+        *self.peer.borrow_mut() = Some(peer.clone());
+        self.settled.notify_waiters();
         tokio::select! {
             () = self.read(inner, &peer, rx, opener) => {}
             () = self.write(inner, &peer, tx, sealer) => {}
             () = self.closing.notified() => {}
         }
-        self.up.set(false);
+        self.fail();
     }
 
     async fn read(
         &self,
         inner: &Rc<Inner>,
-        peer: &super::PeerInfo,
+        peer: &PeerInfo,
         mut rx: OwnedReadHalf,
         mut opener: Opener,
     ) {
@@ -161,7 +191,7 @@
         }
     }
 
-    fn receive(&self, inner: &Rc<Inner>, peer: &super::PeerInfo, frame: Frame) {
+    fn receive(&self, inner: &Rc<Inner>, peer: &PeerInfo, frame: Frame) {
         match frame {
             Frame::Ping => {
                 self.push(Frame::Pong, usize::MAX);
@@ -174,7 +204,7 @@
     async fn write(
         &self,
         inner: &Rc<Inner>,
-        peer: &super::PeerInfo,
+        peer: &PeerInfo,
         mut tx: OwnedWriteHalf,
         mut sealer: Sealer,
     ) {
--- a/crates/coriandercove_peer/src/link/listen.rs
+++ b/crates/coriandercove_peer/src/link/listen.rs
@@ -87,6 +87,7 @@
         Ok(Err(reason)) => count(&inner.refused, "reason", reason),
         Err(_) => count(&inner.refused, "reason", "dial_timeout"),
     }
+    conn.fail();
     inner.open.set(inner.open.get() - 1);
     inner.retire(&to, &conn);
 }
--- a/crates/coriandercove_state/src/ticket.rs
+++ b/crates/coriandercove_state/src/ticket.rs
@@ -71,6 +71,8 @@
         Leaving,
         /// The agent or its service is at its limit.
         Overloaded,
+        /// No connection to the service could be made.
+        Unreachable,
     }
 
     /// Why it is not known whether a ticket ran.
@@ -225,6 +227,19 @@
         }
     }
 
+    /// Burns a running call of which no byte has reached the service, because no connection to it
+    /// could be made. Returns the reply for the entry.
+    pub fn withdraw_running(&mut self, id: TicketId) -> TicketReply {
+        match self.entries.get(&id).map(|e| &e.state) {
+            None => TicketReply::Unknown(UnknownReason::Forgotten),
+            Some(TicketState::Running) => {
+                self.settle(id, TicketState::Burned);
+                TicketReply::NotRun(NotRunReason::Unreachable)
+            }
+            Some(state) => reply_of(state),
+        }
+    }
+
     /// Records the answer of a running call, or `None` if it ended without a known result.
     /// Returns the reply for the entry.
     pub fn finish(&mut self, id: TicketId, answer: Option<Answer>) -> TicketReply {
