--- /dev/null
+++ b/crates/coriandercove_state/tests/claims/calls.rs
@@ -0,0 +1,131 @@
+//! Fuzzes once-calls of several entries at several agents.
+
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+use crate::calls_world::World;
+use crate::runner;
+
+pub const ENTRIES: usize = 3;
+pub const AGENTS: usize = 2;
+
+/// One step. Numbers choose among what is possible, modulo its count.
+#[derive(Debug, Clone)]
+pub enum Step {
+    /// A caller sends a call. Key 0 stands for a call without a key.
+    Call {
+        entry: usize,
+        key: u8,
+        other_body: bool,
+    },
+    /// The oldest messages arrive in order.
+    Flush(usize),
+    /// One message arrives before older ones.
+    Deliver(usize),
+    Duplicate(usize),
+    Drop(usize),
+    StoreArrive(usize),
+    StoreDuplicate(usize),
+    StoreDrop(usize),
+    StoreReply(usize),
+    StoreTimeout(usize, usize),
+    StoreDown(bool),
+    LinkLost(usize),
+    NotSent(usize),
+    ProbeTimeout(usize),
+    /// An agent passes an accepted call to its service, which takes effect.
+    RunCall(usize, usize),
+    /// A service answers, or closes the connection without an answer.
+    EndCall {
+        agent: usize,
+        i: usize,
+        answered: bool,
+    },
+    AgentRefuses(usize, bool),
+    RestartEntry(usize),
+    RestartAgent(usize),
+    /// A process neither receives nor acts, while its clock goes on.
+    PauseEntry(usize, bool),
+    PauseAgent(usize, bool),
+    /// The link of an entry to an agent, or to the store (number `AGENTS`).
+    Cut(usize, usize, bool),
+    Advance(u64),
+}
+
+pub struct Calls;
+
+impl ReferenceStateMachine for Calls {
+    /// Calls made so far, which bounds the number of calls in a case.
+    type State = usize;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<usize> {
+        Just(0).boxed()
+    }
+
+    fn transitions(calls: &usize) -> BoxedStrategy<Step> {
+        let call_weight = if *calls < 40 { 14 } else { 1 };
+        let entry = 0..ENTRIES;
+        let agent = 0..AGENTS;
+        let any = 0..64_usize;
+        prop_oneof![
+            call_weight => (entry.clone(), 0..4_u8, prop::bool::weighted(0.05))
+                .prop_map(|(entry, key, other_body)| Step::Call { entry, key, other_body }),
+            30 => (1..6_usize).prop_map(Step::Flush),
+            8 => any.clone().prop_map(Step::Deliver),
+            5 => any.clone().prop_map(Step::Duplicate),
+            2 => any.clone().prop_map(Step::Drop),
+            16 => any.clone().prop_map(Step::StoreArrive),
+            3 => any.clone().prop_map(Step::StoreDuplicate),
+            2 => any.clone().prop_map(Step::StoreDrop),
+            16 => any.clone().prop_map(Step::StoreReply),
+            4 => (entry.clone(), any.clone()).prop_map(|(e, i)| Step::StoreTimeout(e, i)),
+            2 => prop::bool::weighted(0.3).prop_map(Step::StoreDown),
+            4 => any.clone().prop_map(Step::LinkLost),
+            2 => any.clone().prop_map(Step::NotSent),
+            3 => any.clone().prop_map(Step::ProbeTimeout),
+            12 => (agent.clone(), any.clone()).prop_map(|(a, i)| Step::RunCall(a, i)),
+            10 => (agent.clone(), any, prop::bool::weighted(0.9))
+                .prop_map(|(agent, i, answered)| Step::EndCall { agent, i, answered }),
+            2 => (agent.clone(), prop::bool::weighted(0.4)).prop_map(|(a, on)| Step::AgentRefuses(a, on)),
+            2 => entry.clone().prop_map(Step::RestartEntry),
+            2 => agent.clone().prop_map(Step::RestartAgent),
+            3 => (entry.clone(), prop::bool::weighted(0.4)).prop_map(|(e, on)| Step::PauseEntry(e, on)),
+            2 => (agent, prop::bool::weighted(0.4)).prop_map(|(a, on)| Step::PauseAgent(a, on)),
+            3 => (entry, 0..=AGENTS, prop::bool::weighted(0.4)).prop_map(|(e, to, on)| Step::Cut(e, to, on)),
+            14 => (10..400_u64).prop_map(Step::Advance),
+        ]
+        .boxed()
+    }
+
+    fn apply(calls: usize, step: &Step) -> usize {
+        calls + usize::from(matches!(step, Step::Call { .. }))
+    }
+}
+
+impl StateMachineTest for Calls {
+    type SystemUnderTest = World;
+    type Reference = Self;
+
+    fn init_test(_: &usize) -> World {
+        World::new()
+    }
+
+    fn apply(mut world: World, _: &usize, step: Step) -> World {
+        runner::count_step();
+        world.step(step);
+        world
+    }
+
+    fn teardown(mut world: World, _: usize) {
+        world.heal();
+        world.settle();
+    }
+}
+
+/// Guards against an effect that happens twice, an effect of a request that was refused, an
+/// answer to another key, and a caller without an answer.
+#[test]
+fn calls_run_at_most_once() {
+    runner::check::<Calls>("calls", 40, 400);
+}
--- /dev/null
+++ b/crates/coriandercove_state/tests/claims/shards.rs
@@ -0,0 +1,347 @@
+//! Fuzzes writers of one shard through sealing, deletion and creation of segments.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use coriandercove_base::Time;
+use coriandercove_state::claim::{
+    Change, ChangeResult, Claim, ClaimState, Segment, Shard, ShardAction, ShardSettings,
+};
+use coriandercove_state::store_call::{StoreCall, StoreReply};
+use coriandercove_state::ticket::Ticket;
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+use crate::calls_world::{duplicate, pick};
+use crate::runner::{self, rng, violation};
+use crate::store::StoreNet;
+
+const WRITERS: usize = 3;
+const KEYS: u128 = 6;
+const RETENTION_MS: u64 = 3_000;
+const WALL: u64 = 1_000_000;
+
+#[derive(Debug, Clone)]
+pub enum Step {
+    Claim {
+        writer: usize,
+        key: u128,
+    },
+    /// Records the answer of the last claim that a writer saw written.
+    Record {
+        writer: usize,
+    },
+    Arrive(usize),
+    Reply(usize),
+    /// Requests and answers arrive in order.
+    Flush(usize),
+    Duplicate(usize),
+    DropRequest(usize),
+    Timeout(usize, usize),
+    Down(bool),
+    Restart(usize),
+    /// Time passes for the writers that are not paused.
+    Advance(u64),
+    Pause(usize, bool),
+}
+
+struct Writer {
+    run: u32,
+    shard: Shard,
+    calls: u64,
+    paused: bool,
+    last: Option<Claim>,
+}
+
+/// What the oracle knows of a claim by its ticket.
+struct Known {
+    claim: Claim,
+    /// Wall clock when the claim first was in the store.
+    stored_ms: Option<u64>,
+    confirmed: bool,
+}
+
+pub struct World {
+    now: Time,
+    writers: Vec<Writer>,
+    store: StoreNet,
+    known: BTreeMap<u128, Known>,
+    /// Tickets whose answer was reported as recorded.
+    recorded: BTreeSet<u128>,
+}
+
+fn new_writer(writer: usize, run: u32) -> Writer {
+    let settings = ShardSettings {
+        retention_ms: RETENTION_MS,
+        // Two or three claims fill a segment.
+        segment_bytes: 260,
+        ..ShardSettings::new("claims/kiln/000/".into())
+    };
+    Writer {
+        run,
+        shard: Shard::new(settings, rng(writer as u64 * 1000 + u64::from(run))),
+        calls: 0,
+        paused: false,
+        last: None,
+    }
+}
+
+impl World {
+    fn wall(&self) -> u64 {
+        WALL + u64::try_from(self.now.as_millis()).unwrap()
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Claim { writer, key } => self.claim(writer, key),
+            Step::Record { writer } => self.record(writer),
+            Step::Arrive(i) => self.arrive(i),
+            Step::Reply(i) => self.reply(i),
+            Step::Flush(n) => (0..n).for_each(|_| {
+                self.arrive(0);
+                self.reply(0);
+            }),
+            Step::Duplicate(i) => duplicate(&mut self.store.requests, i),
+            Step::DropRequest(i) => {
+                drop(pick(i, self.store.requests.len()).map(|i| self.store.requests.remove(i)))
+            }
+            Step::Timeout(writer, i) => {
+                if !self.writers[writer].paused && self.store.time_out(writer, i).is_some() {
+                    self.drive(writer, |s, now, _| s.on_store(now, StoreReply::Lost));
+                }
+            }
+            Step::Down(down) => self.store.down = down,
+            Step::Restart(writer) => {
+                self.store.forget_node(writer);
+                self.writers[writer] = new_writer(writer, self.writers[writer].run + 1);
+            }
+            Step::Advance(ms) => {
+                self.now += Duration::from_millis(ms);
+                for writer in 0..WRITERS {
+                    if !self.writers[writer].paused {
+                        self.drive(writer, Shard::tick);
+                    }
+                }
+            }
+            Step::Pause(writer, on) => self.writers[writer].paused = on,
+        }
+    }
+
+    fn claim(&mut self, writer: usize, key: u128) {
+        let id = self.known.len() as u128 + 1;
+        let ticket = Ticket {
+            id,
+            issued_ms: self.wall(),
+            node: "agent".into(),
+            incarnation: 1,
+        };
+        let claim = Claim {
+            key,
+            fingerprint: key,
+            req: id,
+            ticket,
+            state: ClaimState::Open,
+            at_ms: self.wall(),
+        };
+        let known = Known {
+            claim: claim.clone(),
+            stored_ms: None,
+            confirmed: false,
+        };
+        self.known.insert(id, known);
+        self.drive(writer, |s, now, _| s.submit(now, id, Change::Claim(claim)));
+    }
+
+    fn record(&mut self, writer: usize) {
+        let Some(claim) = self.writers[writer].last.take() else {
+            return;
+        };
+        let change = Change::Record {
+            key: claim.key,
+            ticket: claim.ticket.id,
+            state: done(claim.ticket.id),
+            at_ms: self.wall(),
+        };
+        let tag = claim.ticket.id << 64;
+        self.drive(writer, |s, now, _| s.submit(now, tag, change));
+    }
+
+    fn drive(&mut self, at: usize, act: impl FnOnce(&mut Shard, Time, u64) -> Vec<ShardAction>) {
+        let (now, wall) = (self.now, self.wall());
+        let actions = act(&mut self.writers[at].shard, now, wall);
+        for action in actions {
+            match action {
+                ShardAction::Store(call) => {
+                    let writer = &mut self.writers[at];
+                    writer.calls += 1;
+                    self.store.send((at, writer.run, writer.calls), call);
+                }
+                ShardAction::Settled { tag, result } => self.settled(at, tag, &result),
+                ShardAction::Refreshed(_) => {}
+            }
+        }
+    }
+
+    fn settled(&mut self, at: usize, tag: u128, result: &ChangeResult) {
+        if *result != ChangeResult::Written {
+            return;
+        }
+        if tag >> 64 > 0 {
+            self.recorded.insert(tag >> 64);
+            return;
+        }
+        let known = self.known.get_mut(&tag).unwrap();
+        known.confirmed = true;
+        let Some(stored) = known.stored_ms else {
+            violation("a claim was reported as written that is not in the store");
+        };
+        let claim = known.claim.clone();
+        self.writers[at].last = Some(claim.clone());
+        let rival = self.known.values().find(|k| {
+            let same = k.claim.key == claim.key && k.claim.ticket.id != tag && k.confirmed;
+            let other = k.stored_ms.unwrap_or(0);
+            let (first, later) = if other <= stored {
+                (k.claim.at_ms, stored)
+            } else {
+                (claim.at_ms, other)
+            };
+            same && later <= first + RETENTION_MS
+        });
+        if rival.is_some() {
+            violation("a key was claimed twice within its retention");
+        }
+    }
+
+    fn arrive(&mut self, i: usize) {
+        let Some(i) = pick(i, self.store.requests.len()) else {
+            return;
+        };
+        let wall = self.wall();
+        if let Some((StoreCall::PutIf { value, .. }, StoreReply::Written(_))) = self.store.arrive(i)
+        {
+            for claim in Segment::decode(&value).unwrap().claims {
+                let known = self.known.get_mut(&claim.ticket.id).unwrap();
+                known.stored_ms.get_or_insert(wall);
+            }
+        }
+    }
+
+    fn reply(&mut self, i: usize) {
+        let Some(i) = pick(i, self.store.replies.len()) else {
+            return;
+        };
+        let (at, run, _) = self.store.replies[i].0;
+        if self.writers[at].paused {
+            return;
+        }
+        if let Some((_, reply)) = self.store.take_reply(i)
+            && self.writers[at].run == run
+        {
+            self.drive(at, |s, now, _| s.on_store(now, reply));
+        }
+    }
+
+    /// Lets a writer that knows nothing read the shard, and compares it with the oracle.
+    fn compare(&mut self) {
+        self.store.requests.clear();
+        self.store.replies.clear();
+        self.store.down = false;
+        let run = self.writers[0].run + 1;
+        self.writers[0] = new_writer(0, run);
+        for writer in &mut self.writers[1..] {
+            writer.paused = true;
+        }
+        self.drive(0, |s, now, _| s.refresh(now));
+        for _ in 0..200 {
+            self.step(Step::Flush(1));
+        }
+        let wall = self.wall();
+        for known in self.known.values() {
+            let id = known.claim.ticket.id;
+            if !known.confirmed || known.claim.at_ms + RETENTION_MS < wall {
+                continue;
+            }
+            match self.writers[0].shard.lookup(known.claim.key) {
+                Some(claim) if claim.ticket.id != id => violation("a claim was replaced"),
+                Some(claim) if self.recorded.contains(&id) && claim.state != done(id) => {
+                    violation("a recorded answer was lost");
+                }
+                Some(_) => {}
+                None => violation("a claim was lost"),
+            }
+        }
+    }
+}
+
+fn done(ticket: u128) -> ClaimState {
+    ClaimState::Done {
+        status: 200,
+        body: Some(vec![ticket as u8]),
+    }
+}
+
+pub struct Shards;
+
+impl ReferenceStateMachine for Shards {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let writer = 0..WRITERS;
+        let any = 0..32_usize;
+        prop_oneof![
+            20 => (writer.clone(), 1..=KEYS).prop_map(|(writer, key)| Step::Claim { writer, key }),
+            6 => writer.clone().prop_map(|writer| Step::Record { writer }),
+            16 => any.clone().prop_map(Step::Arrive),
+            16 => any.clone().prop_map(Step::Reply),
+            24 => (1..8_usize).prop_map(Step::Flush),
+            4 => any.clone().prop_map(Step::Duplicate),
+            2 => any.clone().prop_map(Step::DropRequest),
+            4 => (writer.clone(), any).prop_map(|(w, i)| Step::Timeout(w, i)),
+            2 => prop::bool::weighted(0.3).prop_map(Step::Down),
+            1 => writer.clone().prop_map(Step::Restart),
+            14 => (50..300_u64).prop_map(Step::Advance),
+            3 => (1_000..4_000_u64).prop_map(Step::Advance),
+            4 => (writer, prop::bool::weighted(0.4)).prop_map(|(w, on)| Step::Pause(w, on)),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+impl StateMachineTest for Shards {
+    type SystemUnderTest = World;
+    type Reference = Self;
+
+    fn init_test((): &()) -> World {
+        World {
+            now: Time::ZERO,
+            writers: (0..WRITERS).map(|w| new_writer(w, 0)).collect(),
+            store: StoreNet::default(),
+            known: BTreeMap::new(),
+            recorded: BTreeSet::new(),
+        }
+    }
+
+    fn apply(mut world: World, (): &(), step: Step) -> World {
+        runner::count_step();
+        world.step(step);
+        world
+    }
+
+    fn teardown(mut world: World, (): ()) {
+        world.compare();
+    }
+}
+
+/// Guards against two claims of a key, and against claims and answers that are lost or come
+/// back while segments are sealed, deleted and created by late writers.
+#[test]
+fn shards_keep_claims() {
+    runner::check::<Shards>("shards", 40, 400);
+}
