Take a refused conditional write as unsettled, and forward changes

The refusal of the second copy answered the call, reading back failed, and a request whose claim had been written was refused as store_unavailable. Change: a refused write is settled by reading back, like one whose answer was lost. Changes can also be forwarded to the usual writer of a shard, and a read asked for while another is under way gets its own read.

--- a/crates/coriandercove_state/src/claim/reply.rs
+++ b/crates/coriandercove_state/src/claim/reply.rs
@@ -7,7 +7,7 @@
 use super::ChangeResult;
 use super::index::{Active, Sealed};
 use super::segment::{self, Segment};
-use super::shard::{Op, Refresh, Shard, ShardAction, Waiting, may_fail, settled};
+use super::shard::{Op, Shard, ShardAction, Waiting, may_fail, settled};
 use crate::fault::{self, Fault};
 use crate::store_call::{StoreReply, Version};
 
@@ -119,13 +119,15 @@
         match reply {
             StoreReply::Written(version) => self.on_written(*version, segment, &batch),
             StoreReply::Unavailable => self.requeue(batch),
+            StoreReply::Conflict | StoreReply::Absent if fault::is_on(Fault::IgnoreConflict) => {
+                self.loader.restart(&self.view);
+                settle_all(&batch, &ChangeResult::Written)
+            }
             StoreReply::Conflict | StoreReply::Absent => {
+                // If the request was doubled on its way, its first copy may have taken effect
+                // and the second one met the result. Reading back tells, as for a lost answer.
                 self.conflicts += 1;
-                self.loader.restart(&self.view);
-                if fault::is_on(Fault::IgnoreConflict) {
-                    return settle_all(&batch, &ChangeResult::Written);
-                }
-                self.requeue(batch)
+                self.mark_unsettled(batch)
             }
             _ => self.on_write_lost(batch),
         }
@@ -149,12 +151,17 @@
 
     /// The write may have taken effect, or may still do so as long as the segment keeps its
     /// version. Reading the segment back, or another write to it, settles that.
-    fn on_write_lost(&mut self, mut batch: Vec<Waiting>) -> Vec<ShardAction> {
-        let position = self.view.position();
-        self.loader.restart(&self.view);
+    fn on_write_lost(&mut self, batch: Vec<Waiting>) -> Vec<ShardAction> {
         if fault::is_on(Fault::LostWriteIsFailure) {
+            self.loader.restart(&self.view);
             return settle_all(&batch, &ChangeResult::Unavailable);
         }
+        self.mark_unsettled(batch)
+    }
+
+    fn mark_unsettled(&mut self, mut batch: Vec<Waiting>) -> Vec<ShardAction> {
+        let position = self.view.position();
+        self.loader.restart(&self.view);
         for waiting in &mut batch {
             waiting.unsettled = position;
         }
@@ -178,8 +185,13 @@
         self.retry_at = now + self.retry;
         self.retry = (self.retry * 2).min(MAX_RETRY);
         let mut actions = Vec::new();
-        if std::mem::take(&mut self.refresh) != Refresh::No {
-            actions.push(ShardAction::Refreshed(false));
+        if self.refresh.is_open() {
+            self.refresh.begun = self.refresh.wanted;
+            self.refresh.done = self.refresh.wanted;
+            actions.push(ShardAction::Refreshed {
+                up_to: self.refresh.done,
+                is_read: false,
+            });
         }
         self.queue.retain(|w| {
             let is_kept = w.unsettled.is_some() || !may_fail(&w.change);
--- a/crates/coriandercove_state/src/claim/shard.rs
+++ b/crates/coriandercove_state/src/claim/shard.rs
@@ -63,8 +63,13 @@
         /// The result.
         result: ChangeResult,
     },
-    /// A refresh ended; `false` if the store could not be read.
-    Refreshed(bool),
+    /// The refreshes up to this number ended.
+    Refreshed {
+        /// Number of the last of them; see [`Shard::refresh`].
+        up_to: u64,
+        /// Whether the store could be read.
+        is_read: bool,
+    },
 }
 
 #[derive(Debug)]
@@ -90,13 +95,18 @@
     DeleteStray(u64),
 }
 
-/// Progress of [`Shard::refresh`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(super) enum Refresh {
-    #[default]
-    No,
-    Wanted,
-    Started,
+/// Numbers of the refreshes that were asked for, begun and ended.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Refresh {
+    pub wanted: u64,
+    pub begun: u64,
+    pub done: u64,
+}
+
+impl Refresh {
+    pub const fn is_open(self) -> bool {
+        self.done < self.wanted
+    }
 }
 
 /// The claims of one shard as one entry sees them, and the changes that wait to be written.
@@ -130,7 +140,7 @@
             loader: Loader::new(),
             op: None,
             queue: VecDeque::new(),
-            refresh: Refresh::No,
+            refresh: Refresh::default(),
             last_write: None,
             retry_at: Time::ZERO,
             malformed: 0,
@@ -196,12 +206,11 @@
         matches!(&self.op, Some(Op::Write { batch, .. }) if batch.iter().any(|w| w.tag == tag))
     }
 
-    /// Reads the claims that other entries wrote; ends with [`ShardAction::Refreshed`].
-    pub fn refresh(&mut self, now: Time) -> Vec<ShardAction> {
-        if self.refresh == Refresh::No {
-            self.refresh = Refresh::Wanted;
-        }
-        self.advance(now)
+    /// Reads the claims that other entries wrote. Returns the number of this refresh, which
+    /// ends with a [`ShardAction::Refreshed`] for this or a higher number.
+    pub fn refresh(&mut self, now: Time) -> (u64, Vec<ShardAction>) {
+        self.refresh.wanted += 1;
+        (self.refresh.wanted, self.advance(now))
     }
 
     /// Goes on with waiting work, and removes or seals segments whose claims are too old.
@@ -218,7 +227,7 @@
     /// segments, for which a tick every few seconds is enough.
     #[must_use]
     pub fn next_wake(&self) -> Option<Time> {
-        if self.op.is_some() || (self.queue.is_empty() && self.refresh == Refresh::No) {
+        if self.op.is_some() || !self.has_work() {
             None
         } else if self.loader.is_ready() {
             Some(self.next_write())
@@ -227,6 +236,10 @@
         }
     }
 
+    fn has_work(&self) -> bool {
+        !self.queue.is_empty() || self.refresh.is_open()
+    }
+
     fn next_write(&self) -> Time {
         let gap = self.last_write.map(|t| t + self.settings.write_gap);
         gap.unwrap_or_default().max(self.retry_at)
@@ -235,30 +248,42 @@
     /// Starts the next store call if none is under way and there is work for one.
     pub(super) fn advance(&mut self, now: Time) -> Vec<ShardAction> {
         let mut actions = Vec::new();
-        if self.op.is_some() || (self.queue.is_empty() && self.refresh == Refresh::No) {
+        if self.op.is_some() || !self.has_work() {
             return actions;
         }
         if now < self.retry_at {
             return actions;
         }
-        if self.refresh == Refresh::Wanted {
-            self.refresh = Refresh::Started;
+        if self.refresh.is_open() && self.refresh.begun == self.refresh.done {
+            self.refresh.begun = self.refresh.wanted;
             self.loader.restart(&self.view);
         }
         let step = self.loader.next();
         if step == Step::Ready {
-            if std::mem::take(&mut self.refresh) == Refresh::Started {
-                actions.push(ShardAction::Refreshed(true));
-            }
+            actions.extend(self.end_refresh());
             if now >= self.next_write() {
                 self.commit(now, &mut actions);
             }
+            if self.op.is_none() && self.refresh.is_open() {
+                actions.extend(self.advance(now));
+            }
         } else {
             actions.push(self.load(step));
         }
         actions
     }
 
+    fn end_refresh(&mut self) -> Option<ShardAction> {
+        if !self.refresh.is_open() {
+            return None;
+        }
+        self.refresh.done = self.refresh.begun;
+        Some(ShardAction::Refreshed {
+            up_to: self.refresh.done,
+            is_read: true,
+        })
+    }
+
     fn load(&mut self, step: Step) -> ShardAction {
         let prefix = &self.settings.prefix;
         let (op, call) = match step {
--- a/crates/coriandercove_state/src/once.rs
+++ b/crates/coriandercove_state/src/once.rs
@@ -8,13 +8,14 @@
 mod agent;
 mod call;
 mod entry;
+mod forward;
 mod shards;
 
 use std::sync::Arc;
 
 use coriandercove_base::{Incarnation, NodeId, RequestId, TicketId, Time, data};
 
-use crate::claim::KeyHash;
+use crate::claim::{Change, ChangeResult, KeyHash};
 use crate::store_call::{StoreCall, StoreReply};
 use crate::ticket::{Answer, NotRunReason, Ticket, TicketReply, UnknownReason};
 
@@ -22,6 +23,8 @@
 
 /// Identifies a store call of a [`OnceEntry`].
 pub type StoreOp = u64;
+/// Identifies a change that a [`OnceEntry`] forwarded.
+pub type ForwardId = u64;
 
 data! {
     /// A call that must not repeat.
@@ -185,6 +188,32 @@
         /// The key.
         key: KeyHash,
     },
+    /// The entries that are alive, as far as this one knows. Decides only who writes which
+    /// shard usually; without it, the entry writes all claims itself.
+    Entries {
+        /// The name of this entry.
+        me: NodeId,
+        /// The names of all live entries.
+        live: Arc<[NodeId]>,
+    },
+    /// Another entry asks for a change, because this one is the usual writer of the shard.
+    Forwarded {
+        /// The entry that asks.
+        from: NodeId,
+        /// Its number for the change.
+        id: ForwardId,
+        /// Name of the plain service.
+        service: Arc<str>,
+        /// The change.
+        change: Change,
+    },
+    /// Result of [`Action::Forward`]; `None` if there is none in time.
+    ForwardEnded {
+        /// Number of the change.
+        id: ForwardId,
+        /// The result.
+        result: Option<ChangeResult>,
+    },
     /// Time passed; see [`OnceEntry::next_wake`].
     Tick,
 }
@@ -226,6 +255,28 @@
         /// What the caller is told.
         outcome: Outcome,
     },
+    /// Send the change to the entry `to`, at most once, where it is an [`Event::Forwarded`].
+    /// Report exactly one [`Event::ForwardEnded`], also if the link fails or after a timeout
+    /// of some hundred ms.
+    Forward {
+        /// The usual writer of the shard.
+        to: NodeId,
+        /// Number of the change.
+        id: ForwardId,
+        /// Name of the plain service.
+        service: Arc<str>,
+        /// The change.
+        change: Change,
+    },
+    /// Send the result of a forwarded change back to the entry `to`.
+    ForwardResult {
+        /// The entry that asked.
+        to: NodeId,
+        /// Its number for the change.
+        id: ForwardId,
+        /// The result.
+        result: ChangeResult,
+    },
     /// Answer an [`Event::Query`].
     Status {
         /// The asking request.
--- a/crates/coriandercove_state/src/once/agent.rs
+++ b/crates/coriandercove_state/src/once/agent.rs
@@ -3,7 +3,7 @@
 use coriandercove_base::{RequestId, TicketId};
 
 use super::call::Phase;
-use super::entry::{OnceEntry, done_state};
+use super::entry::{OnceEntry, Reader, done_state};
 use super::{Doubt, Outcome, Refusal};
 use crate::claim::ClaimState;
 use crate::fault::{self, Fault};
@@ -56,7 +56,10 @@
         if is_keyed && reason == NotRunReason::Burned && !call.replied {
             // A repeat at another entry burned the ticket and may run under a new one.
             call.phase = Phase::Reading { ticket };
-            return self.read_back(req);
+            if let Some(shard) = self.shard_of_call(req) {
+                self.read(req, &shard, Reader::Call);
+            }
+            return;
         }
         self.choose(req, is_keyed.then_some(ticket));
     }
--- a/crates/coriandercove_state/src/once/call.rs
+++ b/crates/coriandercove_state/src/once/call.rs
@@ -50,6 +50,8 @@
     pub refused: Option<NotRunReason>,
     /// Whether a claim of this request was written.
     pub claimed: bool,
+    /// Whether another entry may write a claim of this request at any time.
+    pub is_elsewhere: bool,
     pub replied: bool,
     /// Entry of the call in the list of due times.
     pub due: Time,
@@ -64,6 +66,7 @@
             tried: 0,
             refused: None,
             claimed: false,
+            is_elsewhere: false,
             replied: false,
         }
     }
@@ -119,6 +122,7 @@
             return;
         };
         let (replied, claimed, deadline) = (call.replied, call.claimed, call.request.deadline);
+        let is_elsewhere = call.is_elsewhere;
         call.claimed |= result == ChangeResult::Written;
         match result {
             ChangeResult::Written if replied || self.now >= deadline => {
@@ -129,6 +133,9 @@
             ChangeResult::Written => self.dispatch(req, ticket),
             ChangeResult::Refused(Some(claim)) if !replied => self.follow(req, *claim),
             ChangeResult::Refused(_) => self.end(req),
+            ChangeResult::Unavailable | ChangeResult::Overloaded if is_elsewhere => {
+                self.finish(req, Outcome::Unknown(Doubt::ClaimUnsettled));
+            }
             ChangeResult::Unavailable if claimed => self.give_up(req, Refusal::ClaimNotReplaced),
             ChangeResult::Unavailable => self.give_up(req, Refusal::StoreUnavailable),
             ChangeResult::Overloaded => self.give_up(req, Refusal::Overloaded),
@@ -136,8 +143,14 @@
     }
 
     /// Goes on after the claims were read, for a call whose ticket was burned.
-    pub(super) fn on_read_back(&mut self, req: RequestId, ticket: TicketId, is_read: bool) {
-        let key = self.calls.get(&req).and_then(|c| c.request.key);
+    pub(super) fn on_read_back(&mut self, req: RequestId, is_read: bool) {
+        let Some(call) = self.calls.get(&req) else {
+            return;
+        };
+        let Phase::Reading { ticket } = call.phase else {
+            return;
+        };
+        let key = call.request.key;
         let claim = key.and_then(|k| self.lookup(req, k.key));
         match claim {
             _ if !is_read => self.give_up(req, Refusal::Agent(NotRunReason::Burned)),
--- a/crates/coriandercove_state/src/once/entry.rs
+++ b/crates/coriandercove_state/src/once/entry.rs
@@ -8,6 +8,7 @@
 use coriandercove_base::{RequestId, TicketId, Time, data};
 
 use super::call::{Call, Phase};
+use super::forward::Forwards;
 use super::{
     Action, Event, KeyStatus, KeyedBy, OnceRequest, Outcome, Refusal, StoreOp, TargetAgent,
 };
@@ -55,12 +56,23 @@
 /// Names a shard: service and number.
 pub(super) type ShardId = (Arc<str>, u16);
 
-/// A waiting `GET /v1/requests/{key}`.
+/// Waits until a shard has been read anew.
 #[derive(Debug)]
-pub(super) struct Query {
+pub(super) struct Reading {
     pub req: RequestId,
     pub shard: ShardId,
-    pub key: KeyHash,
+    /// Number of the refresh.
+    pub number: u64,
+    pub reader: Reader,
+}
+
+/// What waits for a [`Reading`].
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Reader {
+    /// A call whose ticket was burned.
+    Call,
+    /// A `GET /v1/requests/{key}`.
+    Query(KeyHash),
 }
 
 /// The at-most-once calls of one entry, with the shards of claims that they use.
@@ -77,7 +89,8 @@
     pub(super) shards: HashMap<ShardId, Shard>,
     pub(super) ops: HashMap<StoreOp, ShardId>,
     pub(super) next_op: StoreOp,
-    pub(super) queries: Vec<Query>,
+    pub(super) readings: Vec<Reading>,
+    pub(super) forwards: Forwards,
     pub(super) out: Vec<Action>,
 }
 
@@ -96,7 +109,8 @@
             shards: HashMap::new(),
             ops: HashMap::new(),
             next_op: 0,
-            queries: Vec::new(),
+            readings: Vec::new(),
+            forwards: Forwards::default(),
             out: Vec::new(),
         }
     }
@@ -120,6 +134,14 @@
             Event::LinkLost { req, ticket } => self.on_link_lost(req, ticket),
             Event::Probed { req, ticket, reply } => self.on_probed(req, ticket, reply),
             Event::Query { req, service, key } => self.on_query(req, service, key),
+            Event::Entries { me, live } => self.on_entries(me, live),
+            Event::Forwarded {
+                from,
+                id,
+                service,
+                change,
+            } => self.on_forwarded(from, id, service, change),
+            Event::ForwardEnded { id, result } => self.on_forward_ended(id, result),
             Event::Tick => self.tick(),
         }
         std::mem::take(&mut self.out)
--- a/crates/coriandercove_state/src/once/shards.rs
+++ b/crates/coriandercove_state/src/once/shards.rs
@@ -5,8 +5,7 @@
 use coriandercove_base::RequestId;
 use coriandercove_base::rng::random_id;
 
-use super::call::Phase;
-use super::entry::{OnceEntry, Query, ShardId, status_of};
+use super::entry::{OnceEntry, Reader, Reading, ShardId, status_of};
 use super::{Action, KeyStatus, StoreOp};
 use crate::claim::{
     Change, ClaimState, KeyHash, Shard, ShardAction, ShardSettings, shard_of, shard_prefix,
@@ -36,42 +35,30 @@
         })
     }
 
-    fn shard_of_call(&self, req: RequestId) -> Option<ShardId> {
+    pub(super) fn shard_of_call(&self, req: RequestId) -> Option<ShardId> {
         let request = &self.calls.get(&req)?.request;
         Some(self.shard_id(request.service.clone(), request.key?.key))
     }
 
-    /// Submits a change to the shard of the call's key.
-    pub(super) fn submit(&mut self, req: RequestId, tag: u128, change: Change) {
-        let Some(id) = self.shard_of_call(req) else {
-            return;
-        };
+    /// Submits a change to a shard of this entry.
+    pub(super) fn submit_here(&mut self, id: &ShardId, tag: u128, change: Change) {
         let now = self.now;
-        let actions = self.shard(&id).submit(now, tag, change);
-        self.on_shard(&id, actions);
+        let actions = self.shard(id).submit(now, tag, change);
+        self.on_shard(id, actions);
     }
 
     /// Takes back the claim of a call; `false` if it may have been written.
     pub(super) fn withdraw(&mut self, req: RequestId) -> bool {
-        match self.shard_of_call(req) {
-            Some(id) => self.shard(&id).withdraw(req),
-            None => true,
+        let is_elsewhere = self.calls.get(&req).is_some_and(|c| c.is_elsewhere);
+        if self.forwards.has(req) {
+            return false;
         }
-    }
-
-    /// Reads the claims of the call's shard anew.
-    pub(super) fn read_back(&mut self, req: RequestId) {
-        if let Some(id) = self.shard_of_call(req) {
-            self.refresh(&id);
+        match self.shard_of_call(req) {
+            Some(id) if !is_elsewhere => self.shard(&id).withdraw(req),
+            _ => false,
         }
     }
 
-    fn refresh(&mut self, id: &ShardId) {
-        let now = self.now;
-        let actions = self.shard(id).refresh(now);
-        self.on_shard(id, actions);
-    }
-
     pub(super) fn on_store(&mut self, op: StoreOp, reply: StoreReply) {
         let Some(id) = self.ops.remove(&op) else {
             return;
@@ -91,57 +78,64 @@
                     self.out.push(Action::Store { op, call });
                 }
                 ShardAction::Settled { tag, .. } if tag == BACKGROUND => {}
-                ShardAction::Settled { tag, result } => self.on_claimed(tag, result),
-                ShardAction::Refreshed(is_read) => self.on_refreshed(id, is_read),
+                ShardAction::Settled { tag, result } => {
+                    if !self.is_foreign(tag, &result) {
+                        self.on_claimed(tag, result);
+                    }
+                }
+                ShardAction::Refreshed { up_to, is_read } => self.on_refreshed(id, up_to, is_read),
             }
         }
     }
 
-    fn on_refreshed(&mut self, id: &ShardId, is_read: bool) {
-        let (now, later) = std::mem::take(&mut self.queries)
+    fn on_refreshed(&mut self, id: &ShardId, up_to: u64, is_read: bool) {
+        let is_ended = |r: &Reading| r.shard == *id && r.number <= up_to;
+        let (ended, waiting) = std::mem::take(&mut self.readings)
             .into_iter()
-            .partition(|q| q.shard == *id);
-        self.queries = later;
-        for query in now {
-            self.answer(&query, is_read);
-        }
-        let mut waiting: Vec<_> = self
-            .calls
-            .iter()
-            .filter_map(|(req, call)| match call.phase {
-                Phase::Reading { ticket } => Some((*req, ticket)),
-                _ => None,
-            })
-            .filter(|(req, _)| self.shard_of_call(*req).as_ref() == Some(id))
-            .collect();
-        // The order of a hash map differs between runs, which a seed must not.
-        waiting.sort_unstable();
-        for (req, ticket) in waiting {
-            self.on_read_back(req, ticket, is_read);
+            .partition(is_ended);
+        self.readings = waiting;
+        for reading in ended {
+            match reading.reader {
+                Reader::Query(key) => self.answer(reading.req, id, key, is_read),
+                Reader::Call => self.on_read_back(reading.req, is_read),
+            }
         }
     }
 
+    /// Reads the shard anew for a call or a query.
+    pub(super) fn read(&mut self, req: RequestId, id: &ShardId, reader: Reader) {
+        let now = self.now;
+        let (number, actions) = self.shard(id).refresh(now);
+        let shard = id.clone();
+        self.readings.push(Reading {
+            req,
+            shard,
+            number,
+            reader,
+        });
+        self.on_shard(id, actions);
+    }
+
     pub(super) fn on_query(&mut self, req: RequestId, service: Arc<str>, key: KeyHash) {
         let shard = self.shard_id(service, key);
-        let query = Query { req, shard, key };
-        let claim = self.shard(&query.shard).lookup(key);
+        let claim = self.shard(&shard).lookup(key);
         let is_final = claim.is_some_and(|c| matches!(c.state, ClaimState::Done { .. }));
-        if is_final || self.queries.len() >= self.settings.max_calls {
-            return self.answer(&query, false);
+        if is_final || self.readings.len() >= self.settings.max_calls {
+            return self.answer(req, &shard, key, false);
         }
-        let id = query.shard.clone();
-        self.queries.push(query);
-        self.refresh(&id);
+        self.read(req, &shard, Reader::Query(key));
     }
 
-    fn answer(&mut self, query: &Query, is_read: bool) {
-        let claim = self.shard(&query.shard).lookup(query.key);
-        let status = match claim {
-            Some(claim) => status_of(claim),
+    fn answer(&mut self, req: RequestId, shard: &ShardId, key: KeyHash, is_read: bool) {
+        let status = match self.shard(shard).lookup(key) {
+            // An open claim of a key may have been taken over since by another request.
+            Some(claim) if is_read || matches!(claim.state, ClaimState::Done { .. }) => {
+                status_of(claim)
+            }
+            Some(_) => KeyStatus::Open,
             None if is_read => KeyStatus::NotFound,
             None => KeyStatus::StoreUnavailable,
         };
-        let req = query.req;
         self.out.push(Action::Status { req, status });
     }
 
--- a/crates/coriandercove_state/tests/claims/calls.rs
+++ b/crates/coriandercove_state/tests/claims/calls.rs
@@ -10,7 +10,7 @@
 pub const AGENTS: usize = 2;
 
 /// One step. Numbers choose among what is possible, modulo its count.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub enum Step {
     /// A caller sends a call. Key 0 stands for a call without a key.
     Call {
@@ -33,6 +33,11 @@
     LinkLost(usize),
     NotSent(usize),
     ProbeTimeout(usize),
+    ForwardTimeout(usize),
+    /// An entry believes that these entries, as bits, are alive.
+    Live(usize, u8),
+    /// A caller asks for the state of a key.
+    Query(usize, u8),
     /// An agent passes an accepted call to its service, which takes effect.
     RunCall(usize, usize),
     /// A service answers, or closes the connection without an answer.
@@ -84,6 +89,9 @@
             4 => any.clone().prop_map(Step::LinkLost),
             2 => any.clone().prop_map(Step::NotSent),
             3 => any.clone().prop_map(Step::ProbeTimeout),
+            3 => any.clone().prop_map(Step::ForwardTimeout),
+            2 => (entry.clone(), 0..8_u8).prop_map(|(e, live)| Step::Live(e, live)),
+            3 => (entry.clone(), 1..4_u8).prop_map(|(e, key)| Step::Query(e, key)),
             12 => (agent.clone(), any.clone()).prop_map(|(a, i)| Step::RunCall(a, i)),
             10 => (agent.clone(), any, prop::bool::weighted(0.9))
                 .prop_map(|(agent, i, answered)| Step::EndCall { agent, i, answered }),
--- a/crates/coriandercove_state/tests/claims/calls_world.rs
+++ b/crates/coriandercove_state/tests/claims/calls_world.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use coriandercove_base::{NodeId, RequestId, TicketId, Time};
-use coriandercove_state::claim::Segment;
+use coriandercove_state::claim::{Change, ChangeResult, Segment};
 use coriandercove_state::once::{
-    Action, Event, KeyedBy, OnceEntry, OnceRequest, OnceSettings, Outcome, Refusal, TargetAgent,
+    Action, Event, ForwardId, KeyStatus, KeyedBy, OnceEntry, OnceRequest, OnceSettings, Outcome,
+    Refusal, TargetAgent,
 };
 use coriandercove_state::store_call::{StoreCall, StoreReply};
 use coriandercove_state::ticket::{
@@ -15,7 +16,7 @@
 
 use crate::calls::{AGENTS, ENTRIES, Step};
 use crate::runner::{rng, violation};
-use crate::store::StoreNet;
+use crate::store::{StoreNet, duplicate, pick, remove};
 
 /// Wall clock at the start of a run, in ms.
 const WALL: u64 = 1_000_000_000;
@@ -30,6 +31,8 @@
     Probe(Run, RequestId, Ticket),
     Reply(Run, usize, RequestId, TicketId, TicketReply),
     Probed(Run, usize, RequestId, TicketId, TicketReply),
+    Forward(Run, usize, ForwardId, Change),
+    Forwarded(Run, ForwardId, ChangeResult),
 }
 
 struct Entry {
@@ -73,12 +76,19 @@
     key_effects: BTreeMap<u8, RequestId>,
     dispatched: Vec<(Run, RequestId, Ticket)>,
     probes: Vec<(Run, RequestId, TicketId)>,
+    forwards: Vec<(Run, ForwardId)>,
+    /// Queries under way: the key and whether it had taken effect before.
+    queries: BTreeMap<RequestId, (u8, bool)>,
 }
 
 fn agent_name(agent: usize) -> NodeId {
     format!("agent{agent}").into()
 }
 
+fn entry_name(entry: usize) -> NodeId {
+    format!("entry{entry}").into()
+}
+
 fn new_entry(entry: usize, run: u32) -> Entry {
     // One shard lets all keys share writes; small segments let them be sealed.
     let settings = OnceSettings {
@@ -125,6 +135,8 @@
             key_effects: BTreeMap::new(),
             dispatched: Vec::new(),
             probes: Vec::new(),
+            forwards: Vec::new(),
+            queries: BTreeMap::new(),
         }
     }
 
@@ -145,14 +157,22 @@
                 other_body,
             } => self.call(entry, key, other_body),
             Step::Flush(n) => self.flush(n),
-            Step::Deliver(i) => drop(pick(i, self.net.len()).map(|i| self.deliver(i))),
-            Step::Duplicate(i) => duplicate(&mut self.net, i),
-            Step::Drop(i) => drop(pick(i, self.net.len()).map(|i| self.net.remove(i))),
+            Step::Deliver(i) => {
+                if let Some(i) = pick(i, self.net.len()) {
+                    self.deliver(i);
+                }
+            }
+            Step::Duplicate(i) => {
+                // A link carries a forwarded change at most once.
+                let at = pick(i, self.net.len());
+                if at.is_some_and(|i| !matches!(self.net[i], Msg::Forward(..))) {
+                    duplicate(&mut self.net, i);
+                }
+            }
+            Step::Drop(i) => remove(&mut self.net, i),
             Step::StoreArrive(i) => self.store_arrive(i),
             Step::StoreDuplicate(i) => duplicate(&mut self.store.requests, i),
-            Step::StoreDrop(i) => {
-                drop(pick(i, self.store.requests.len()).map(|i| self.store.requests.remove(i)))
-            }
+            Step::StoreDrop(i) => remove(&mut self.store.requests, i),
             Step::StoreReply(i) => self.store_reply(i),
             Step::StoreTimeout(entry, i) if !self.entries[entry].paused => {
                 if let Some((entry, _, op)) = self.store.time_out(entry, i) {
@@ -165,6 +185,14 @@
             Step::LinkLost(i) => self.link_lost(i),
             Step::NotSent(i) => self.not_sent(i),
             Step::ProbeTimeout(i) => self.probe_timeout(i),
+            Step::ForwardTimeout(i) => self.forward_timeout(i),
+            Step::Live(entry, live) if !self.entries[entry].paused => {
+                let live = (0..ENTRIES).filter(|e| live >> e & 1 == 1).map(entry_name);
+                let (me, live) = (entry_name(entry), live.collect());
+                self.event(entry, Event::Entries { me, live });
+            }
+            Step::Live(..) => {}
+            Step::Query(entry, key) => self.query(entry, key),
             Step::RunCall(agent, i) => self.run_call(agent, i),
             Step::EndCall { agent, i, answered } => self.end_call(agent, i, answered),
             Step::AgentRefuses(agent, on) => self.agents[agent].refuses = on,
@@ -240,7 +268,56 @@
                 self.net.push(Msg::Probe(run, req, ticket));
             }
             Action::Reply { req, outcome } => self.on_outcome(req, &outcome),
-            Action::Status { .. } => {}
+            Action::Status { req, status } => self.on_status(req, &status),
+            Action::Forward { to, id, change, .. } => {
+                let to = (0..ENTRIES).find(|e| entry_name(*e) == to).unwrap();
+                self.forwards.push((run, id));
+                self.net.push(Msg::Forward(run, to, id, change));
+            }
+            Action::ForwardResult { to, id, result } => {
+                let (at, from_run) = to.rsplit_once('/').unwrap();
+                let run = (at.parse().unwrap(), from_run.parse().unwrap());
+                self.net.push(Msg::Forwarded(run, id, result));
+            }
+        }
+    }
+
+    fn query(&mut self, entry: usize, key: u8) {
+        if self.entries[entry].paused {
+            return;
+        }
+        let req = u128::MAX - self.queries.len() as u128;
+        let has_effect = self.key_effects.contains_key(&key);
+        self.queries.insert(req, (key, has_effect));
+        let (service, key) = ("kiln".into(), key.into());
+        self.event(entry, Event::Query { req, service, key });
+    }
+
+    fn on_status(&mut self, req: RequestId, status: &KeyStatus) {
+        let (key, has_effect) = self.queries[&req];
+        match status {
+            KeyStatus::NotFound if has_effect => violation("a key with an effect was not found"),
+            KeyStatus::Done(answer) => {
+                let body = answer.body.as_deref().unwrap();
+                let origin = u128::from_le_bytes(body.try_into().unwrap());
+                if self.key_effects.get(&key) != Some(&origin) {
+                    violation("the state of a key is the answer of another call");
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn forward_timeout(&mut self, i: usize) {
+        let Some(i) = pick(i, self.forwards.len()) else {
+            return;
+        };
+        if self.entries[self.forwards[i].0.0].paused {
+            return;
+        }
+        let (run, id) = self.forwards.remove(i);
+        if self.is_current(run) {
+            self.event(run.0, Event::ForwardEnded { id, result: None });
         }
     }
 
@@ -278,6 +355,8 @@
                 (run, agent_of(ticket), true)
             }
             Msg::Reply(run, agent, ..) | Msg::Probed(run, agent, ..) => (run, *agent, false),
+            Msg::Forward(_, to, ..) => return !self.entries[*to].paused,
+            Msg::Forwarded(run, ..) => return !self.entries[run.0].paused,
         };
         let entry = &self.entries[run.0];
         let paused = if to_agent {
@@ -323,7 +402,23 @@
                 let reply = Some(reply);
                 self.event(run.0, Event::Probed { req, ticket, reply });
             }
-            Msg::Reply(..) | Msg::Probed(..) => {}
+            Msg::Forward(run, to, id, change) => {
+                let from = format!("{}/{}", run.0, run.1).into();
+                let service = "kiln".into();
+                let event = Event::Forwarded {
+                    from,
+                    id,
+                    service,
+                    change,
+                };
+                self.event(to, event);
+            }
+            Msg::Forwarded(run, id, result) if self.is_current(run) => {
+                self.forwards.retain(|f| *f != (run, id));
+                let result = Some(result);
+                self.event(run.0, Event::ForwardEnded { id, result });
+            }
+            Msg::Reply(..) | Msg::Probed(..) | Msg::Forwarded(..) => {}
         }
     }
 
@@ -511,6 +606,7 @@
             }
             if self.net.is_empty() {
                 self.probe_timeout(0);
+                self.forward_timeout(0);
             }
             self.advance(100);
         }
@@ -530,14 +626,3 @@
         .find(|a| *agent_name(*a) == *ticket.node)
         .unwrap()
 }
-
-/// Index among `len` things, if there are any.
-pub fn pick(i: usize, len: usize) -> Option<usize> {
-    (len > 0).then(|| i % len)
-}
-
-pub fn duplicate<T: Clone>(list: &mut Vec<T>, i: usize) {
-    if let Some(i) = pick(i, list.len()) {
-        list.push(list[i].clone());
-    }
-}
--- a/crates/coriandercove_state/tests/claims/leases.rs
+++ b/crates/coriandercove_state/tests/claims/leases.rs
@@ -9,15 +9,14 @@
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
-use crate::calls_world::{duplicate, pick};
 use crate::runner::{self, rng, violation};
-use crate::store::StoreNet;
+use crate::store::{StoreNet, duplicate, pick, remove};
 
 const NODES: usize = 3;
 const AGENTS: usize = 2;
 const JOB: &str = "placement";
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub enum Step {
     Arrive(usize),
     Reply(usize),
@@ -92,9 +91,7 @@
                 self.reply(0);
             }),
             Step::Duplicate(i) => duplicate(&mut self.store.requests, i),
-            Step::DropRequest(i) => {
-                drop(pick(i, self.store.requests.len()).map(|i| self.store.requests.remove(i)))
-            }
+            Step::DropRequest(i) => remove(&mut self.store.requests, i),
             Step::Timeout(at, i) => {
                 let paused = at < NODES && self.nodes[at].paused;
                 if !paused && self.store.time_out(at, i).is_some() {
--- a/crates/coriandercove_state/tests/claims/main.rs
+++ b/crates/coriandercove_state/tests/claims/main.rs
@@ -1,9 +1,18 @@
 //! Stateful fuzzing of claims, once-calls, leases and fencing; see docs/testing.md.
 
+#[cfg(test)]
 mod calls;
+#[cfg(test)]
 mod calls_world;
+#[cfg(test)]
 mod faults;
+#[cfg(test)]
 mod leases;
+#[cfg(test)]
+mod regressions;
+#[cfg(test)]
 mod runner;
+#[cfg(test)]
 mod shards;
+#[cfg(test)]
 mod store;
--- a/crates/coriandercove_state/tests/claims/shards.rs
+++ b/crates/coriandercove_state/tests/claims/shards.rs
@@ -12,16 +12,15 @@
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
-use crate::calls_world::{duplicate, pick};
 use crate::runner::{self, rng, violation};
-use crate::store::{CallId, StoreNet};
+use crate::store::{CallId, StoreNet, duplicate, pick, remove};
 
 const WRITERS: usize = 3;
 const KEYS: u128 = 6;
 const RETENTION_MS: u64 = 1_500;
 const WALL: u64 = 1_000_000;
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub enum Step {
     Claim {
         writer: usize,
@@ -106,9 +105,7 @@
                 (0..self.store.replies.len()).for_each(|i| self.reply(i));
             }),
             Step::Duplicate(i) => duplicate(&mut self.store.requests, i),
-            Step::DropRequest(i) => {
-                drop(pick(i, self.store.requests.len()).map(|i| self.store.requests.remove(i)))
-            }
+            Step::DropRequest(i) => remove(&mut self.store.requests, i),
             Step::Timeout(writer, i) => {
                 if !self.writers[writer].paused && self.store.time_out(writer, i).is_some() {
                     self.drive(writer, |s, now, _| s.on_store(now, StoreReply::Lost));
@@ -182,7 +179,7 @@
                     self.store.send((at, writer.run, writer.calls), call);
                 }
                 ShardAction::Settled { tag, result } => self.settled(at, tag, &result),
-                ShardAction::Refreshed(_) => {}
+                ShardAction::Refreshed { .. } => {}
             }
         }
     }
@@ -261,7 +258,7 @@
         for writer in &mut self.writers[1..] {
             writer.paused = true;
         }
-        self.drive(0, |s, now, _| s.refresh(now));
+        self.drive(0, |s, now, _| s.refresh(now).1);
         for _ in 0..200 {
             self.step(Step::Flush(1));
         }
--- a/crates/coriandercove_state/tests/claims/store.rs
+++ b/crates/coriandercove_state/tests/claims/store.rs
@@ -108,3 +108,20 @@
         self.waiting.retain(|id| id.0 != node);
     }
 }
+
+/// Index among `len` things, if there are any.
+pub fn pick(i: usize, len: usize) -> Option<usize> {
+    (len > 0).then(|| i % len)
+}
+
+pub fn duplicate<T: Clone>(list: &mut Vec<T>, i: usize) {
+    if let Some(i) = pick(i, list.len()) {
+        list.push(list[i].clone());
+    }
+}
+
+pub fn remove<T>(list: &mut Vec<T>, i: usize) {
+    if let Some(i) = pick(i, list.len()) {
+        list.remove(i);
+    }
+}
