Measure the control traffic of membership

The budget of 2 KB/s must hold at 480 entries and 3,300 agents in every region, so the cost function runs the real machines and encoders. Observers are now chosen below a load bound, since plain rendezvous hashing gave some entries half more heartbeats than the mean, and keys have a fixed width.

--- a/crates/coriandercove_state/src/membership.rs
+++ b/crates/coriandercove_state/src/membership.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod budget;
+mod cost;
 mod detector;
 mod entry;
 mod event;
@@ -15,6 +16,7 @@
 mod table;
 
 pub use agent::AgentMembership;
+pub use cost::{ControlCost, RegionCost, control_cost};
 pub use entry::EntryMembership;
 pub use event::{MemberEvent, MembershipAction, MembershipCounters, MembershipEvent, VmListed};
 #[cfg(feature = "faults")]
--- a/crates/coriandercove_state/src/membership/detector.rs
+++ b/crates/coriandercove_state/src/membership/detector.rs
@@ -52,10 +52,12 @@
         self.observers_old = false;
         self.observers = Observers::read(&self.table);
         let me = self.me;
-        for (key, member) in &mut self.table.members {
-            member.observers = self.observers.of(*key, &member.record.info.zone);
-            let observed = *key != me && member.observers.contains(&me);
-            if !observed {
+        for (key, observers) in self.observers.assign(&self.table) {
+            let Some(member) = self.table.get_mut(key) else {
+                continue;
+            };
+            member.observers = observers;
+            if key == me || !member.observers.contains(&me) {
                 member.observed = None;
                 member.heard = None;
             } else if member.observed.is_none() {
--- a/crates/coriandercove_state/src/membership/entry.rs
+++ b/crates/coriandercove_state/src/membership/entry.rs
@@ -270,6 +270,17 @@
         }
     }
 
+    /// Takes records as known for long, so that a measurement begins with a full table.
+    pub(super) fn load_table(&mut self, records: &[MemberRecord]) {
+        for record in records {
+            let key = member_key(&record.info.node);
+            if key != self.me {
+                let member = Member::new(record.clone(), Time::ZERO);
+                self.table.members.insert(key, member);
+            }
+        }
+    }
+
     /// Has the next digests carry a member's state.
     pub(super) fn heat(&mut self, key: MemberKey, info: bool) {
         // A rumour that each entry passes on a few times log n reaches all of them with high
--- a/crates/coriandercove_state/src/membership/heartbeat.rs
+++ b/crates/coriandercove_state/src/membership/heartbeat.rs
@@ -213,9 +213,7 @@
     /// no other entry.
     pub(super) fn send_heartbeats(&mut self, now: Time) {
         self.next_heartbeat = now + self.cfg.heartbeat;
-        let zone = self.cfg.me.zone.clone();
-        let keys = self.observers.of(self.me, &zone);
-        let mut to = self.addresses(&keys);
+        let mut to = self.addresses(&self.mine().observers);
         let hash = observers_hash(&to);
         if to.is_empty() {
             to = self.cfg.seeds.clone();
--- a/crates/coriandercove_state/src/membership/message.rs
+++ b/crates/coriandercove_state/src/membership/message.rs
@@ -22,6 +22,7 @@
     #[derive(Eq)]
     pub struct Heartbeat {
         /// The sender.
+        #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Its run.
         pub incarnation: Incarnation,
@@ -45,6 +46,7 @@
         /// The observer.
         pub info: Option<Box<MemberInfo>>,
         /// Key of the observer.
+        #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Run of the observer.
         pub incarnation: Incarnation,
@@ -64,6 +66,7 @@
     #[derive(Eq, Copy)]
     pub struct StateRecord {
         /// The member.
+        #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Its run.
         pub incarnation: Incarnation,
@@ -82,6 +85,7 @@
     pub struct LoadRecord {
         /// High 32 bits of the member's key. A collision shows one member's load at another for
         /// some seconds, which routing tolerates.
+        #[serde(with = "postcard::fixint::le")]
         pub key: u32,
         /// Low 16 bits of the heartbeat, which order reports of the last hours.
         pub beat: u16,
@@ -93,6 +97,7 @@
     #[derive(Eq, Default)]
     pub struct Digest {
         /// The sender.
+        #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Its run.
         pub incarnation: Incarnation,
@@ -116,6 +121,7 @@
     #[derive(Eq, Default)]
     pub struct Query {
         /// The sender.
+        #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Its run.
         pub incarnation: Incarnation,
--- a/crates/coriandercove_state/src/membership/observers.rs
+++ b/crates/coriandercove_state/src/membership/observers.rs
@@ -2,100 +2,105 @@
 
 use super::record::{Liveness, MemberKey, Role};
 use super::table::{Member, Table};
+use coriandercove_base::ZoneId;
 use coriandercove_base::hash::mix64;
-use coriandercove_base::{SortedMap, ZoneId};
 
 /// Entries that observe each member.
 pub(super) const OBSERVERS: usize = 3;
 /// Observers taken from the member's own zone, so that a cut between zones does not silence it.
 /// The third one is elsewhere and sees when the whole zone falls silent.
 const OWN_ZONE: usize = 2;
-/// Heartbeats that the own-zone rule may bring to an entry, as a share in hundredths of the mean
-/// over all entries. Zones with many agents and few entries would exceed the byte budget.
-const OWN_ZONE_SHARE: usize = 70;
+/// Members that an entry may observe, in hundredths of the mean over all entries. The bound keeps
+/// each entry within the byte budget, also in zones with many agents and few entries.
+const LOAD_BOUND: usize = 105;
 
-/// The live entries and the quota of each zone, as of the last change.
+/// The live entries as of the last change.
 #[derive(Debug, Default)]
 pub(super) struct Observers {
     /// Live entries that do not leave, with their zones.
     pub(super) entries: Vec<(MemberKey, ZoneId)>,
-    /// Own-zone observers of each zone's members.
-    quota: SortedMap<ZoneId, usize>,
 }
 
 impl Observers {
-    /// Reads the live entries and the sizes of the zones from the table.
+    /// Reads the live entries from the table.
     pub(super) fn read(table: &Table) -> Self {
-        let mut entries = Vec::new();
-        let mut sizes: SortedMap<ZoneId, (usize, usize)> = SortedMap::new();
+        let entries = table
+            .members
+            .iter()
+            .filter(|(_, m)| m.record.info.role == Role::Entry && may_observe(m))
+            .map(|(key, m)| (*key, m.record.info.zone.clone()))
+            .collect();
+        Self { entries }
+    }
+
+    /// Chooses the observers of all members of the table: by rendezvous hash, the member's own
+    /// zone first, among entries below the load bound. All entries with the same table choose
+    /// alike, because members are taken in the order of their keys.
+    pub(super) fn assign(&self, table: &Table) -> Vec<(MemberKey, Vec<MemberKey>)> {
+        let listed = |m: &&Member| m.record.liveness != Liveness::Dead;
+        let members = table.members.values().filter(listed).count();
+        let mean = members * OBSERVERS * LOAD_BOUND / 100 / self.entries.len().max(1);
+        let mut room = vec![mean + 1; self.entries.len()];
+        let mut all = Vec::with_capacity(members);
         for (key, member) in &table.members {
-            if member.record.liveness == Liveness::Dead || member.record.incarnation == 0 {
-                continue;
-            }
-            let zone = &member.record.info.zone;
-            let size = sizes.get_or_insert_with(zone.clone(), || (0, 0));
-            size.1 += 1;
-            if member.record.info.role == Role::Entry && may_observe(member) {
-                entries.push((*key, zone.clone()));
-                size.0 += 1;
+            if listed(&member) {
+                let chosen = self.choose(*key, &member.record.info.zone, &room);
+                for i in &chosen {
+                    room[*i] = room[*i].saturating_sub(1);
+                }
+                let keys = chosen.into_iter().map(|i| self.entries[i].0).collect();
+                all.push((*key, keys));
             }
         }
-        let members: usize = sizes.values().map(|s| s.1).sum();
-        let quota = sizes
-            .iter()
-            .map(|(zone, size)| (zone.clone(), quota(*size, entries.len(), members)))
-            .collect();
-        Self { entries, quota }
+        all
     }
 
-    /// Observers of a member: its own zone's quota first, then entries of other zones, each by
-    /// rendezvous hash. Where other zones have too few, the own zone fills up.
-    pub(super) fn of(&self, key: MemberKey, zone: &str) -> Vec<MemberKey> {
-        let quota = self.quota.get(zone).copied().unwrap_or(0);
-        let mut own = Vec::new();
-        let mut others = Vec::new();
-        for (entry, entry_zone) in &self.entries {
+    fn choose(&self, key: MemberKey, zone: &str, room: &[usize]) -> Vec<usize> {
+        let mut own = Best::default();
+        let mut others = Best::default();
+        let mut full = Best::default();
+        for (i, (entry, entry_zone)) in self.entries.iter().enumerate() {
             if *entry != key {
-                let list = if **entry_zone == *zone {
-                    &mut own
-                } else {
-                    &mut others
+                let list = match (room[i] > 0, **entry_zone == *zone) {
+                    (true, true) => &mut own,
+                    (true, false) => &mut others,
+                    (false, _) => &mut full,
                 };
-                list.push((mix64(key ^ *entry), *entry));
+                list.add(mix64(key ^ *entry), i);
             }
         }
-        best(&mut own);
-        best(&mut others);
-        let first = own.len().min(quota);
-        let second = others.len().min(OBSERVERS - first);
-        let rest = own.iter().skip(first).take(OBSERVERS - first - second);
-        let chosen = own.iter().take(first).chain(others.iter().take(second));
-        chosen.chain(rest).map(|(_, k)| *k).collect()
+        let near = own.indices().take(OWN_ZONE);
+        let far = others.indices();
+        let rest = own.indices().skip(OWN_ZONE).chain(full.indices());
+        near.chain(far).chain(rest).take(OBSERVERS).collect()
     }
 }
 
-/// Keeps the entries with the highest weights.
-fn best(list: &mut Vec<(u64, MemberKey)>) {
-    if list.len() > OBSERVERS {
-        list.select_nth_unstable_by(OBSERVERS - 1, |a, b| b.cmp(a));
-        list.truncate(OBSERVERS);
+/// The entries with the highest weights, best first.
+#[derive(Default)]
+struct Best {
+    list: [Option<(u64, usize)>; OBSERVERS],
+}
+
+impl Best {
+    fn add(&mut self, weight: u64, index: usize) {
+        let mut new = Some((weight, index));
+        for slot in &mut self.list {
+            if new > *slot {
+                std::mem::swap(slot, &mut new);
+            }
+        }
+    }
+
+    fn indices(&self) -> impl Iterator<Item = usize> {
+        self.list.iter().flatten().map(|(_, i)| *i)
     }
-    list.sort_unstable_by(|a, b| b.cmp(a));
 }
 
 fn may_observe(member: &Member) -> bool {
     member.is_reachable() && !member.record.leaving
 }
 
-/// Own-zone observers that a zone's members can have without exceeding its entries' share.
-fn quota((entries, members): (usize, usize), all_entries: usize, all_members: usize) -> usize {
-    if members == 0 || all_entries == 0 {
-        return OWN_ZONE;
-    }
-    let allowed = entries * OBSERVERS * all_members * OWN_ZONE_SHARE;
-    (allowed / (members * all_entries * 100)).min(OWN_ZONE)
-}
-
 /// Short hash of a list of observers' addresses, by which a member and its observers compare.
 pub(super) fn observers_hash(addresses: &[std::net::SocketAddr]) -> u16 {
     let mut sorted: Vec<String> = addresses.iter().map(ToString::to_string).collect();
--- a/crates/coriandercove_state/src/membership/settings.rs
+++ b/crates/coriandercove_state/src/membership/settings.rs
@@ -58,9 +58,9 @@
             forget_unreachable: Duration::from_secs(24 * 3600),
             remember_forgotten: Duration::from_secs(24 * 3600),
             adopt_window: Duration::from_secs(60),
-            digest_bytes: 250,
+            digest_bytes: 120,
             datagram_bytes: 1200,
-            budget: 1800,
+            budget: 1300,
             overhead: 28,
         }
     }
