--- a/crates/coriandercove_state/src/membership/message.rs
+++ b/crates/coriandercove_state/src/membership/message.rs
@@ -25,6 +25,7 @@
         #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Its run.
+        #[serde(with = "postcard::fixint::le")]
         pub incarnation: Incarnation,
         /// Rises with each round of heartbeats, and with each datagram of an entry.
         pub seq: u64,
@@ -35,7 +36,7 @@
         /// Whether it leaves.
         pub leaving: bool,
         /// Hash of the observers that the sender uses, so that the receiver can correct them.
-        pub observers: u16,
+        pub observers: u8,
         /// What the sender says of itself; only after start, on a change, and when asked.
         pub info: Option<Box<MemberInfo>>,
     }
@@ -49,6 +50,7 @@
         #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Run of the observer.
+        #[serde(with = "postcard::fixint::le")]
         pub incarnation: Incarnation,
         /// Heartbeat that this answers.
         pub seq: u64,
@@ -69,6 +71,7 @@
         #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Its run.
+        #[serde(with = "postcard::fixint::le")]
         pub incarnation: Incarnation,
         /// Heartbeat that the state refers to.
         pub beat: u64,
@@ -100,6 +103,7 @@
         #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Its run.
+        #[serde(with = "postcard::fixint::le")]
         pub incarnation: Incarnation,
         /// Rises with each datagram of the sender.
         pub seq: u64,
@@ -124,6 +128,7 @@
         #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Its run.
+        #[serde(with = "postcard::fixint::le")]
         pub incarnation: Incarnation,
         /// Rises with each datagram of the sender.
         pub seq: u64,
--- a/crates/coriandercove_state/src/membership/observers.rs
+++ b/crates/coriandercove_state/src/membership/observers.rs
@@ -102,9 +102,11 @@
 }
 
 /// Short hash of a list of observers' addresses, by which a member and its observers compare.
-pub(super) fn observers_hash(addresses: &[std::net::SocketAddr]) -> u16 {
+/// One byte, because it is in each heartbeat; an observer that a collision leaves without
+/// heartbeats calls the member itself.
+pub(super) fn observers_hash(addresses: &[std::net::SocketAddr]) -> u8 {
     let mut sorted: Vec<String> = addresses.iter().map(ToString::to_string).collect();
     sorted.sort();
     let parts: Vec<&[u8]> = sorted.iter().map(String::as_bytes).collect();
-    (coriandercove_base::hash::hash64(&parts) >> 48) as u16
+    (coriandercove_base::hash::hash64(&parts) >> 56) as u8
 }
