--- a/crates/coriandercove_state/src/membership/message.rs
+++ b/crates/coriandercove_state/src/membership/message.rs
@@ -22,8 +22,10 @@
     #[derive(Eq)]
     pub struct Heartbeat {
         /// The sender.
+        #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Its run.
+        #[serde(with = "postcard::fixint::le")]
         pub incarnation: Incarnation,
         /// Rises with each round of heartbeats, and with each datagram of an entry.
         pub seq: u64,
@@ -34,7 +36,7 @@
         /// Whether it leaves.
         pub leaving: bool,
         /// Hash of the observers that the sender uses, so that the receiver can correct them.
-        pub observers: u16,
+        pub observers: u8,
         /// What the sender says of itself; only after start, on a change, and when asked.
         pub info: Option<Box<MemberInfo>>,
     }
@@ -45,8 +47,10 @@
         /// The observer.
         pub info: Option<Box<MemberInfo>>,
         /// Key of the observer.
+        #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Run of the observer.
+        #[serde(with = "postcard::fixint::le")]
         pub incarnation: Incarnation,
         /// Heartbeat that this answers.
         pub seq: u64,
@@ -64,8 +68,10 @@
     #[derive(Eq, Copy)]
     pub struct StateRecord {
         /// The member.
+        #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Its run.
+        #[serde(with = "postcard::fixint::le")]
         pub incarnation: Incarnation,
         /// Heartbeat that the state refers to.
         pub beat: u64,
@@ -82,6 +88,7 @@
     pub struct LoadRecord {
         /// High 32 bits of the member's key. A collision shows one member's load at another for
         /// some seconds, which routing tolerates.
+        #[serde(with = "postcard::fixint::le")]
         pub key: u32,
         /// Low 16 bits of the heartbeat, which order reports of the last hours.
         pub beat: u16,
@@ -93,8 +100,10 @@
     #[derive(Eq, Default)]
     pub struct Digest {
         /// The sender.
+        #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Its run.
+        #[serde(with = "postcard::fixint::le")]
         pub incarnation: Incarnation,
         /// Rises with each datagram of the sender.
         pub seq: u64,
@@ -116,8 +125,10 @@
     #[derive(Eq, Default)]
     pub struct Query {
         /// The sender.
+        #[serde(with = "postcard::fixint::le")]
         pub key: MemberKey,
         /// Its run.
+        #[serde(with = "postcard::fixint::le")]
         pub incarnation: Incarnation,
         /// Rises with each datagram of the sender.
         pub seq: u64,
