Report a truncated HTTP answer as lost

awc ends the body at the end of the connection even if the announced length or the last chunk is missing, so half an answer passed as a whole one (found by tests/service.rs, half_an_answer_is_unknown). Connections now report their end as an error.

--- a/crates/coriandercove_base/src/http.rs
+++ b/crates/coriandercove_base/src/http.rs
@@ -1,6 +1,8 @@
 //! An HTTP client for the peer packages, with bounds and a precise account of what a failed call may
 //! have done.
 
+mod stream;
+
 use std::time::Duration;
 
 use awc::error::{ConnectError, SendRequestError};
@@ -9,6 +11,8 @@
 use futures_util::StreamExt;
 use snafu::Snafu;
 
+use self::stream::StrictConnector;
+
 /// Bounds of a client's calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HttpLimits {
@@ -226,6 +230,7 @@
 
 fn build(limits: &HttpLimits) -> awc::Client {
     let connector = awc::Connector::new()
+        .connector(StrictConnector::default())
         .timeout(limits.connect_timeout)
         .limit(limits.connections);
     awc::Client::builder()
