--- a/crates/coriandercove_standin/src/lib.rs
+++ b/crates/coriandercove_standin/src/lib.rs
@@ -7,3 +7,5 @@
 pub mod faults;
 pub mod server;
 pub mod service;
+pub mod store;
+pub mod vm_list;
