Generate and check configurations and settings with every error at once

A new team fills in a questionnaire; processes read one YAML file, variables and flags. Each error has file, line, key and what is allowed, and is found also where no object uses the value.

--- /dev/null
+++ b/crates/coriandercove_config/src/answers/check.rs
@@ -0,0 +1,361 @@
+//! Checks of answers: every error at once, with its line.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::LazyLock;
+
+use serde_norway::Value;
+
+use super::generate::generate_with_origins;
+use super::{Answers, CallAnswer, MAX_TARGETS, TEMPLATE, TargetGroup};
+use crate::config::{Config, NAME_FORM, check_quality, is_name, list};
+use crate::problem::Problems;
+use crate::url::check_url;
+use crate::yaml::Document;
+
+/// The template as a value. A test guarantees that it is valid YAML.
+static TEMPLATE_VALUE: LazyLock<Value> =
+    LazyLock::new(|| serde_norway::from_str(TEMPLATE).unwrap_or_default());
+
+/// Answers that passed every check, and their configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CheckedAnswers {
+    /// The answers.
+    pub answers: Answers,
+    /// The configuration generated from them.
+    pub config: Config,
+}
+
+/// Reads and checks answers; `file` is their name for errors.
+///
+/// # Errors
+/// Every problem, with file, line, key and what is allowed.
+pub fn parse(file: &str, text: &str) -> Result<CheckedAnswers, Problems> {
+    let document = Document::parse(file, text)?;
+    let decoded = document.decode::<Answers>(&TEMPLATE_VALUE);
+    let mut problems = decoded.problems.clone();
+    let Some(answers) = &decoded.value else {
+        problems.0.sort();
+        return Err(problems);
+    };
+    let (config, findings) = check(answers);
+    let new: Vec<_> = findings
+        .into_iter()
+        .filter(|f| !decoded.was_replaced(&f.key))
+        .map(|f| document.problem(&f.key, f.problem, &f.allowed))
+        .collect();
+    problems.0.extend(new);
+    problems.or(CheckedAnswers {
+        answers: answers.clone(),
+        config,
+    })
+}
+
+/// Something wrong at a path of the answers.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Finding {
+    /// Path of the answer; empty for the whole document.
+    pub key: String,
+    /// What is wrong.
+    pub problem: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+/// The configuration for `answers`, and all that is wrong with them.
+#[must_use]
+pub fn check(answers: &Answers) -> (Config, Vec<Finding>) {
+    let mut c = Checker::default();
+    c.required(answers);
+    c.platform(answers);
+    c.entries(answers);
+    c.network(answers);
+    for (i, service) in answers.services.iter().enumerate() {
+        c.calls(
+            &format!("services[{i}].must_not_repeat"),
+            &service.must_not_repeat,
+        );
+        c.calls(&format!("services[{i}].repeatable"), &service.repeatable);
+    }
+    c.names_twice(answers);
+    for (i, group) in answers.targets.iter().enumerate() {
+        c.group(&format!("targets[{i}]"), group);
+    }
+    let total = answers
+        .targets
+        .iter()
+        .map(|g| u64::from(g.replicas))
+        .sum::<u64>();
+    if total > u64::from(MAX_TARGETS) {
+        let allowed = format!("at most {MAX_TARGETS} in all groups together");
+        c.add("targets", format!("{total} targets are too many"), &allowed);
+    }
+    let config = c.generated(answers);
+    (config, c.findings.into_iter().collect())
+}
+
+#[derive(Default)]
+struct Checker {
+    /// Sorted, without repetitions: all replicas of a group share the findings of their answer.
+    findings: BTreeSet<Finding>,
+}
+
+impl Checker {
+    fn add(&mut self, key: &str, problem: String, allowed: &str) {
+        self.findings.insert(Finding {
+            key: key.to_owned(),
+            problem,
+            allowed: allowed.to_owned(),
+        });
+    }
+
+    fn empty(&mut self, key: &str, is_empty: bool, allowed: &str) {
+        if is_empty {
+            self.add(key, "nothing is given".to_owned(), allowed);
+        }
+    }
+
+    fn required(&mut self, a: &Answers) {
+        self.empty(
+            "trade.name",
+            a.trade.name.trim().is_empty(),
+            "the name of the team",
+        );
+        self.empty("sites", a.sites.is_empty(), "at least one site");
+        self.empty("entries", a.entries.is_empty(), "at least one entry");
+        self.empty(
+            "accounts",
+            a.accounts.is_empty(),
+            "at least one client account",
+        );
+        self.empty(
+            "targets",
+            a.targets.is_empty(),
+            "at least one group of targets",
+        );
+        let nothing = a.models.is_empty() && a.services.is_empty();
+        self.empty("models", nothing, "at least one model or one service");
+        for (i, site) in a.sites.iter().enumerate() {
+            self.empty(
+                &format!("sites[{i}].zones"),
+                site.zones.is_empty(),
+                "at least one zone",
+            );
+        }
+        for (i, model) in a.models.iter().enumerate() {
+            let key = format!("models[{i}].compute");
+            self.empty(
+                &key,
+                model.compute.is_empty(),
+                "one line for each kind of accelerator",
+            );
+        }
+    }
+
+    fn platform(&mut self, a: &Answers) {
+        self.empty(
+            "platform.store",
+            a.platform.store.is_empty(),
+            "at least one URL",
+        );
+        for (i, url) in a.platform.store.iter().enumerate() {
+            self.url(&format!("platform.store[{i}]"), url);
+        }
+        if let Some(url) = &a.platform.vm_list {
+            self.url("platform.vm_list", url);
+        }
+    }
+
+    fn url(&mut self, key: &str, url: &str) {
+        if let Err((problem, allowed)) = check_url(url) {
+            self.add(key, problem, allowed);
+        }
+    }
+
+    fn entries(&mut self, a: &Answers) {
+        let zones: Vec<&str> = zone_names(a);
+        let mut seen: HashMap<SocketAddr, String> = HashMap::new();
+        for (i, e) in a.entries.iter().enumerate() {
+            let key = format!("entries[{i}]");
+            if !is_name(&e.node) {
+                let problem = format!("`{}` is not a valid name", e.node);
+                self.add(&format!("{key}.node"), problem, NAME_FORM);
+            }
+            if !zones.contains(&&*e.zone) {
+                let problem = format!("there is no zone `{}`", e.zone);
+                self.add(&format!("{key}.zone"), problem, &list(&zones));
+            }
+            for (field, address) in [
+                ("callers", e.callers),
+                ("peer", e.peer),
+                ("operations", e.operations),
+            ] {
+                self.entry_address(&format!("{key}.{field}"), field, address, &mut seen);
+            }
+        }
+        self.entries_and_targets(a, &seen);
+    }
+
+    fn entry_address(
+        &mut self,
+        key: &str,
+        field: &str,
+        address: SocketAddr,
+        seen: &mut HashMap<SocketAddr, String>,
+    ) {
+        let reached = field != "callers";
+        if address.port() == 0 || (reached && address.ip().is_unspecified()) {
+            let problem = format!("{address} cannot be reached by other processes");
+            self.add(
+                key,
+                problem,
+                "an IP address and a port from 1, such as 10.0.0.5:7400",
+            );
+        }
+        if let Some(other) = seen.insert(address, key.to_owned()) {
+            let problem = format!("{address} is also used by {other}");
+            self.add(key, problem, "an address of its own");
+        }
+    }
+
+    fn entries_and_targets(&mut self, a: &Answers, seen: &HashMap<SocketAddr, String>) {
+        for (i, group) in a.targets.iter().enumerate() {
+            for n in 0..group.replicas.min(MAX_TARGETS) {
+                let address = super::generate::nth_address(group, n);
+                if let Some(other) = seen.get(&address) {
+                    let problem = format!("{address} is also used by {other}");
+                    self.add(
+                        &format!("targets[{i}].peer"),
+                        problem,
+                        "an address of its own",
+                    );
+                }
+            }
+        }
+    }
+
+    /// A quality is checked even if no link uses it now, because a further zone would use it.
+    fn network(&mut self, a: &Answers) {
+        for (key, q) in [
+            ("network.within_zone", &a.network.within_zone),
+            ("network.between_zones", &a.network.between_zones),
+            ("network.between_regions", &a.network.between_regions),
+        ] {
+            for p in check_quality(key, q.delay, q.bytes_per_second).0 {
+                self.add(&p.key, p.problem, &p.allowed);
+            }
+        }
+        for (i, link) in a.network.links.iter().enumerate() {
+            let same = |l: &super::LinkAnswer| {
+                (&l.a, &l.b) == (&link.a, &link.b) || (&l.b, &l.a) == (&link.a, &link.b)
+            };
+            if a.network.links[..i].iter().any(same) {
+                let problem = format!("the link {} to {} is given twice", link.a, link.b);
+                self.add(
+                    &format!("network.links[{i}]"),
+                    problem,
+                    "one line for each link",
+                );
+            }
+        }
+    }
+
+    fn calls(&mut self, key: &str, calls: &[CallAnswer]) {
+        for (i, call) in calls.iter().enumerate() {
+            if let Some(Err(problem)) = call.timeout.as_deref().map(crate::duration::parse) {
+                self.add(
+                    &format!("{key}[{i}].timeout"),
+                    problem,
+                    crate::duration::ALLOWED,
+                );
+            }
+            if !call.call.trim().contains(' ') {
+                let problem = format!("`{}` is not a method and a path", call.call);
+                let allowed = "a method, a space and a path pattern, such as `POST /orders/*`";
+                self.add(&format!("{key}[{i}].call"), problem, allowed);
+            }
+        }
+    }
+
+    /// Names that are not, or not directly, names of objects.
+    fn names_twice(&mut self, a: &Answers) {
+        self.twice("entries", "node", a.entries.iter().map(|x| &*x.node));
+        self.twice("targets", "name", a.targets.iter().map(|x| x.name.as_str()));
+    }
+
+    fn twice<'a>(&mut self, list: &str, field: &str, names: impl Iterator<Item = &'a str>) {
+        let mut seen: BTreeSet<&str> = BTreeSet::new();
+        for (i, name) in names.enumerate() {
+            if !seen.insert(name) {
+                let problem = format!("`{name}` is given twice");
+                self.add(&format!("{list}[{i}].{field}"), problem, "unique names");
+            }
+        }
+    }
+
+    fn group(&mut self, key: &str, g: &TargetGroup) {
+        if g.replicas == 0 {
+            let allowed = format!("1 to {MAX_TARGETS}");
+            self.add(
+                &format!("{key}.replicas"),
+                "0 is out of range".to_owned(),
+                &allowed,
+            );
+        }
+        let engine = [
+            ("accelerator", g.accelerator.is_some()),
+            ("model", g.model.is_some()),
+            ("version", g.version.is_some()),
+            ("first_layer", g.first_layer.is_some()),
+            ("end_layer", g.end_layer.is_some()),
+        ];
+        match (&g.service, &g.model) {
+            (Some(_), _) => {
+                for (field, _) in engine.iter().filter(|(_, given)| *given) {
+                    let problem = "it is given together with `service`".to_owned();
+                    self.add(
+                        &format!("{key}.{field}"),
+                        problem,
+                        "either `service` or `model`",
+                    );
+                }
+            }
+            (None, None) => {
+                let problem = "neither `model` nor `service` is given".to_owned();
+                self.add(
+                    key,
+                    problem,
+                    "`model` and `accelerator` for engines, `service` for services",
+                );
+            }
+            (None, Some(_)) if g.accelerator.is_none() => {
+                let problem = "missing key `accelerator`".to_owned();
+                let allowed = "the kind of accelerator, as in the model's `compute`";
+                self.add(&format!("{key}.accelerator"), problem, allowed);
+            }
+            _ => {}
+        }
+    }
+
+    /// Checks the generated configuration and translates the findings to the answers.
+    ///
+    /// An answer that already has a finding gets no further one, which would repeat it in other words.
+    fn generated(&mut self, answers: &Answers) -> Config {
+        let (config, origins) = generate_with_origins(answers);
+        let known: BTreeSet<String> = self.findings.iter().map(|f| f.key.clone()).collect();
+        for p in config.check().err().unwrap_or_default().0 {
+            let key = origins.answer(&p.key);
+            // Groups with the same name are found before, once instead of once for each target.
+            let doubled_target = p.key.starts_with("target/") && p.problem.ends_with("given twice");
+            if !doubled_target && !known.contains(&key) {
+                self.add(&key, p.problem, &p.allowed);
+            }
+        }
+        config
+    }
+}
+
+fn zone_names(a: &Answers) -> Vec<&str> {
+    let zones = a.sites.iter().flat_map(|s| &s.zones);
+    zones.map(|z| &**z).collect()
+}
--- a/crates/coriandercove_config/src/config.rs
+++ b/crates/coriandercove_config/src/config.rs
@@ -11,6 +11,7 @@
 
 pub use account::{Account, KeyHash};
 pub use check::{NAME_FORM, is_name};
+pub(crate) use check::{check_quality, list};
 pub use codec::PLACE;
 pub use limits::{Claims, Limits};
 pub use pipeline::{LayerCompute, Pipeline};
--- a/crates/coriandercove_config/src/config/check.rs
+++ b/crates/coriandercove_config/src/config/check.rs
@@ -3,6 +3,8 @@
 mod places;
 mod traffic;
 
+use std::time::Duration;
+
 use super::codec::PLACE;
 use super::{Config, Placement};
 use crate::problem::{Problem, Problems};
@@ -76,11 +78,11 @@
         }
     }
 
-    fn millis(&mut self, key: &str, field: &str, value: std::time::Duration, min: u64, max: u64) {
+    fn millis(&mut self, key: &str, field: &str, value: Duration, min: u64, max: u64) {
         let micros = value.as_micros();
         if micros < u128::from(min) * 1000 || micros > u128::from(max) * 1000 {
             let text = crate::duration::format;
-            let limit = |ms| text(std::time::Duration::from_millis(ms));
+            let limit = |ms| text(Duration::from_millis(ms));
             self.add(
                 format!("{key}.{field}"),
                 format!("{} is out of range", text(value)),
@@ -128,6 +130,20 @@
     }
 }
 
+/// What is wrong with the delay or bandwidth at `key`; used for links and for answers about them.
+pub(crate) fn check_quality(key: &str, delay: Duration, bytes_per_second: u64) -> Problems {
+    let mut c = Checker::default();
+    c.millis(key, "delay", delay, 0, 10_000);
+    c.range(
+        key,
+        "bytes_per_second",
+        bytes_per_second,
+        1000,
+        1_000_000_000_000,
+    );
+    c.problems
+}
+
 impl Config {
     fn zone_names(&self) -> Vec<&str> {
         self.zones.iter().map(|z| &*z.name).collect()
@@ -135,7 +151,7 @@
 }
 
 /// The first names of a list, for error messages.
-fn list(names: &[&str]) -> String {
+pub(crate) fn list(names: &[&str]) -> String {
     const SHOWN: usize = 12;
     match names.len() {
         0 => "none is defined yet".to_owned(),
--- a/crates/coriandercove_config/src/config/check/places.rs
+++ b/crates/coriandercove_config/src/config/check/places.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use super::{Checker, list};
+use super::{Checker, check_quality, list};
 use crate::config::{Claims, Config, Limits, Link, Placement, TargetKind};
 
 impl Checker {
@@ -36,14 +36,8 @@
                 "`a` sorts before `b`",
             );
         }
-        self.millis(&key, "delay", link.delay, 0, 10_000);
-        self.range(
-            &key,
-            "bytes_per_second",
-            link.bytes_per_second,
-            1000,
-            1_000_000_000_000,
-        );
+        let quality = check_quality(&key, link.delay, link.bytes_per_second);
+        self.problems.0.extend(quality.0);
     }
 
     pub(super) fn targets(&mut self, config: &Config) {
--- a/crates/coriandercove_config/src/config/codec.rs
+++ b/crates/coriandercove_config/src/config/codec.rs
@@ -112,7 +112,10 @@
 fn decode<T: DeserializeOwned>(key: &str, value: &Value) -> Result<T, Problem> {
     serde_path_to_error::deserialize(value).map_err(|e| {
         let path = e.path().to_string();
-        let (text, allowed) = split_expected(&e.inner().to_string());
+        let (text, mut allowed) = split_expected(&e.inner().to_string());
+        if allowed.is_empty() {
+            allowed = "an object as `coriandercove generate` writes it".to_owned();
+        }
         let key = if path == "." {
             key.to_owned()
         } else {
--- a/crates/coriandercove_config/src/config/tests.rs
+++ b/crates/coriandercove_config/src/config/tests.rs
@@ -1,1 +1,133 @@
 //! Tests of the typed configuration.
+
+use serde_json::json;
+
+use super::{Config, Repeat, Rule, Service};
+use crate::answers::{TEMPLATE, parse};
+use crate::objects::Objects;
+
+fn config() -> Config {
+    parse("template.yaml", TEMPLATE).unwrap().config
+}
+
+fn rule(method: &str, path: &str) -> Rule {
+    Rule {
+        method: method.to_owned(),
+        path: path.to_owned(),
+        repeat: Repeat::Once,
+        timeout: std::time::Duration::from_secs(1),
+    }
+}
+
+/// Guards against rules that apply to other calls than the operator meant.
+#[test]
+fn rules_match_by_method_and_segments() {
+    let cases = [
+        ("POST", "/slots", "POST", "/slots", true),
+        ("POST", "/slots", "POST", "/slots/", true),
+        ("POST", "/slots", "POST", "/slots?day=1", true),
+        ("POST", "/slots", "GET", "/slots", false),
+        ("POST", "/slots", "POST", "/slots/1", false),
+        ("*", "/slots/*", "PUT", "/slots/1", true),
+        ("GET", "/slots/*", "GET", "/slots", false),
+        ("GET", "/slots/*", "GET", "/slots/1/2", false),
+        ("GET", "/slots/**", "GET", "/slots", true),
+        ("GET", "/slots/**", "GET", "/slots/1/2", true),
+        ("GET", "/slots/**", "GET", "/slotsx", false),
+        ("GET", "/**", "GET", "/", true),
+        ("GET", "/", "GET", "/", true),
+        ("GET", "/", "GET", "/x", false),
+    ];
+    for (method, pattern, m, path, expected) in cases {
+        assert_eq!(
+            rule(method, pattern).matches(m, path),
+            expected,
+            "{pattern} {path}"
+        );
+    }
+}
+
+/// Guards against a retry of a call whose effect nobody has described.
+#[test]
+fn calls_without_a_rule_run_once() {
+    let service = Service {
+        name: "s".to_owned(),
+        rules: Vec::new(),
+        timeout: std::time::Duration::from_secs(3),
+        concurrency: 1,
+    };
+    let expected = (Repeat::Once, std::time::Duration::from_secs(3));
+    assert_eq!(service.handling("GET", "/"), expected);
+}
+
+/// Guards against lookups that miss items because a list is not sorted.
+#[test]
+fn finds_items_by_name() {
+    let config = config();
+    assert!(config.target("engine-002").is_some());
+    assert!(config.target("engine-003").is_none());
+    assert!(config.link("main-1", "main-1").is_some());
+    assert_eq!(config.region_of("main-1"), Some("south"));
+    assert_eq!(config.pipeline("drafts").unwrap().activation_bytes(), 8192);
+}
+
+/// Guards against objects from a faulty writer that are taken over in part.
+#[test]
+fn wrong_objects_are_refused_with_their_place() {
+    let cases = [
+        ("colour/red", json!({}), "colour/red", "unknown kind"),
+        ("zone/z", json!({"name": "z"}), "zone/z", "missing key"),
+        (
+            "zone/z",
+            json!({"name": "z", "site": 1}),
+            "zone/z.site",
+            "invalid type",
+        ),
+        (
+            "zone/z",
+            json!({"name": "z", "site": "s", "x": 1}),
+            "zone/z",
+            "unknown key",
+        ),
+        (
+            "zone/y",
+            json!({"name": "z", "site": "s"}),
+            "zone/y",
+            "does not match",
+        ),
+        (
+            "limits/all",
+            json!({"slow_start": "soon"}),
+            "limits/all.slow_start",
+            "not a duration",
+        ),
+    ];
+    for (key, value, place, problem) in cases {
+        let objects: Objects = [(key.to_owned(), value)].into_iter().collect();
+        let problems = Config::from_objects(&objects).unwrap_err();
+        let first = &problems.0[0];
+        assert!(first.key.starts_with(place), "{first}");
+        assert!(first.problem.contains(problem), "{first}");
+    }
+}
+
+/// Guards against an accepted configuration that names things which do not exist.
+#[test]
+fn references_are_checked() {
+    let mut config = config();
+    assert_eq!(config.check(), Ok(()));
+    config.targets[0].zone = "nowhere".into();
+    config.placements[0].targets.push("ghost".into());
+    config.placements[0].end_layer = 31;
+    config.accounts[0].keys[0].hash.push('x');
+    let problems = config.check().unwrap_err();
+    let text = problems.to_string();
+    for expected in [
+        "there is no zone `nowhere`",
+        "`ghost` is not an engine target",
+        "no target holds layer 31",
+        "the id or the hash is malformed",
+    ] {
+        assert!(text.contains(expected), "{expected} in {text}");
+    }
+}
--- a/crates/coriandercove_config/src/lib.rs
+++ b/crates/coriandercove_config/src/lib.rs
@@ -1,5 +1,6 @@
 //! Answers, generated configuration and process settings.
 
+pub mod answers;
 pub mod config;
 pub mod diff;
 pub mod duration;
@@ -8,6 +9,7 @@
 pub mod problem;
 pub mod secret;
 pub mod settings;
+pub mod url;
 pub mod yaml;
 
 pub use config::{
--- a/crates/coriandercove_config/src/secret.rs
+++ b/crates/coriandercove_config/src/secret.rs
@@ -20,8 +20,7 @@
         let text = text.trim();
         if text.len() < MIN_SECRET_BYTES {
             return Err(format!(
-                "the secret has {} bytes; at least {MIN_SECRET_BYTES} are required; \
-                 `coriandercove key new --raw` makes one",
+                "the secret has {} bytes; at least {MIN_SECRET_BYTES} are required",
                 text.len()
             ));
         }
--- a/crates/coriandercove_config/src/settings.rs
+++ b/crates/coriandercove_config/src/settings.rs
@@ -1,9 +1,22 @@
 //! Settings of the processes, one YAML file for each.
 
 mod agent;
+mod args;
+mod check;
 mod common;
 mod entry;
+mod load;
 
 pub use agent::{AgentLimits, AgentSettings, TargetRole, TargetSettings};
-pub use common::{CLUSTER_KEY_ENV, OPERATOR_TOKEN_ENV, Secrets};
+pub use args::{AgentArgs, CommonArgs, EntryArgs, Startup, process_env};
+pub use common::{CLUSTER_KEY_ENV, DRAIN_DEADLINE, OPERATOR_TOKEN_ENV, Secrets};
 pub use entry::{EntryLimits, EntrySettings};
+pub use load::{AGENT_KEYS, ENTRY_KEYS, Loader, SettingKey};
+
+/// Settings of an entry with all defaults and comments, written by `--print-defaults`.
+pub const ENTRY_DEFAULTS: &str = include_str!("settings/entry.yaml");
+/// Settings of an agent with all defaults and comments, written by `--print-defaults`.
+pub const AGENT_DEFAULTS: &str = include_str!("settings/agent.yaml");
+
+#[cfg(test)]
+mod tests;
--- a/crates/coriandercove_config/src/settings/agent.rs
+++ b/crates/coriandercove_config/src/settings/agent.rs
@@ -7,7 +7,7 @@
 use coriandercove_base::telemetry::LogFormat;
 use coriandercove_base::{NodeId, TargetId, ZoneId, data};
 
-use super::common::{Secrets, as_path};
+use super::common::Secrets;
 
 data! {
     /// Settings of one agent.
@@ -48,7 +48,7 @@
         #[serde(default)]
         pub log: LogFormat,
         /// Time that streams in flight get to end after the agent was told to leave.
-        #[serde(default = "drain_deadline", with = "crate::duration")]
+        #[serde(default = "super::common::drain_deadline", with = "crate::duration")]
         pub drain_deadline: Duration,
         /// Limits of this process.
         #[serde(default)]
@@ -66,6 +66,9 @@
         /// Name of the plain service; only with kind `service`.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub service: Option<String>,
+        /// Whether the target itself refuses orders with an old fencing number.
+        #[serde(default)]
+        pub checks_orders: bool,
     }
 
     /// What a target runs.
@@ -100,10 +103,6 @@
     }
 }
 
-const fn drain_deadline() -> Duration {
-    Duration::from_secs(30)
-}
-
 impl Default for AgentLimits {
     fn default() -> Self {
         Self {
@@ -131,8 +130,8 @@
     /// A text that names the file or variable, the problem and the remedy.
     pub fn secrets(&self) -> Result<Secrets, String> {
         Secrets::read(
-            as_path(&self.cluster_key_file),
-            as_path(&self.operator_token_file),
+            self.cluster_key_file.as_deref(),
+            self.operator_token_file.as_deref(),
         )
     }
 }
--- a/crates/coriandercove_config/src/settings/entry.rs
+++ b/crates/coriandercove_config/src/settings/entry.rs
@@ -7,7 +7,7 @@
 use coriandercove_base::telemetry::LogFormat;
 use coriandercove_base::{NodeId, ZoneId, data};
 
-use super::common::{Secrets, as_path};
+use super::common::Secrets;
 
 data! {
     /// Settings of one entry.
@@ -47,7 +47,7 @@
         #[serde(default)]
         pub log: LogFormat,
         /// Time that requests in flight get to end after the entry was told to stop.
-        #[serde(default = "drain_deadline", with = "crate::duration")]
+        #[serde(default = "super::common::drain_deadline", with = "crate::duration")]
         pub drain_deadline: Duration,
         /// Limits of this process.
         #[serde(default)]
@@ -76,10 +76,6 @@
     }
 }
 
-const fn drain_deadline() -> Duration {
-    Duration::from_secs(30)
-}
-
 impl Default for EntryLimits {
     fn default() -> Self {
         Self {
@@ -107,8 +103,8 @@
     /// A text that names the file or variable, the problem and the remedy.
     pub fn secrets(&self) -> Result<Secrets, String> {
         Secrets::read(
-            as_path(&self.cluster_key_file),
-            as_path(&self.operator_token_file),
+            self.cluster_key_file.as_deref(),
+            self.operator_token_file.as_deref(),
         )
     }
 }
--- /dev/null
+++ b/crates/coriandercove_config/tests/fuzz.rs
@@ -0,0 +1,236 @@
+//! Random input to the decoders. The seed is fixed, so that every run checks the same cases.
+
+use coriandercove_config::answers::{TEMPLATE, generate, parse};
+use coriandercove_config::settings::{AGENT_DEFAULTS, ENTRY_DEFAULTS, Loader};
+use coriandercove_config::yaml::{Document, Lines};
+use coriandercove_config::{Config, Objects, Problems};
+use proptest::prelude::*;
+use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
+use serde_json::Value;
+
+/// Runs `test` for random values of `strategy`.
+fn check<S: Strategy>(seed: u8, cases: u32, strategy: &S, test: impl Fn(S::Value)) {
+    let config = Cases {
+        cases,
+        failure_persistence: None,
+        ..Cases::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let result = runner.run(strategy, |value| {
+        test(value);
+        Ok(())
+    });
+    result.unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+}
+
+fn assert_places(problems: &Problems) {
+    assert!(!problems.0.is_empty());
+    for p in &problems.0 {
+        assert!(!p.file.is_empty(), "no place in {p}");
+        assert!(!p.problem.is_empty(), "no problem in {p}");
+        assert!(!p.allowed.is_empty(), "no remedy in {p}");
+    }
+}
+
+/// Texts that lead a decoder to places that random bytes seldom reach.
+fn fragment() -> impl Strategy<Value = String> {
+    prop_oneof![
+        prop::sample::select(vec![
+            "",
+            " ",
+            "\n",
+            "  ",
+            ":",
+            ": ",
+            "- ",
+            "[",
+            "]",
+            "{",
+            "}",
+            ",",
+            "\"",
+            "'",
+            "|",
+            ">",
+            "#",
+            "&a",
+            "*a",
+            "!t",
+            "null",
+            "~",
+            "-1",
+            "0",
+            "65536",
+            "4294967296",
+            "18446744073709551616",
+            "1e400",
+            ".nan",
+            "true",
+            "5s",
+            "5 s",
+            "0.0.0.0:0",
+            "[::]:1",
+            "255.255.255.255:65535",
+            "http://",
+            "é",
+            "\u{0}",
+            "<<",
+            "? ",
+        ])
+        .prop_map(str::to_owned),
+        "\\PC{0,12}",
+    ]
+}
+
+/// A text with some pieces replaced, removed or inserted at positions given in thousandths.
+fn mutated(text: &'static str) -> impl Strategy<Value = String> {
+    let edit = (0usize..1000, 0usize..24, fragment());
+    prop::collection::vec(edit, 1..6).prop_map(move |edits| {
+        let mut chars: Vec<char> = text.chars().collect();
+        for (at, remove, insert) in edits {
+            let start = at * chars.len() / 1000;
+            let end = (start + remove).min(chars.len());
+            chars.splice(start..end, insert.chars());
+        }
+        chars.into_iter().collect()
+    })
+}
+
+/// Guards against answers that crash the check, and errors without a place.
+#[test]
+fn mutated_answers() {
+    check(1, 1500, &mutated(TEMPLATE), |text| {
+        match parse("f", &text) {
+            Ok(checked) => {
+                let config = generate(&checked.answers);
+                assert_eq!(config.check(), Ok(()));
+                assert_eq!(Config::from_objects(&config.to_objects()), Ok(config));
+            }
+            Err(problems) => assert_places(&problems),
+        }
+    });
+}
+
+/// Guards against settings that crash a process at its start.
+#[test]
+fn mutated_settings() {
+    check(2, 1000, &mutated(ENTRY_DEFAULTS), |text| {
+        if let Err(problems) = Loader::new().text("f", &text).entry() {
+            assert_places(&problems);
+        }
+    });
+    check(3, 1000, &mutated(AGENT_DEFAULTS), |text| {
+        if let Err(problems) = Loader::new().text("f", &text).agent() {
+            assert_places(&problems);
+        }
+    });
+}
+
+/// Guards against text far from any YAML.
+#[test]
+fn arbitrary_text() {
+    let text = prop::collection::vec(fragment(), 0..40).prop_map(|parts| parts.concat());
+    check(4, 3000, &text, |text| {
+        let _ = Lines::scan(&text).line_of("a.b[0]");
+        match Document::parse("f", &text) {
+            Ok(_) => drop(parse("f", &text)),
+            Err(problems) => assert_places(&problems),
+        }
+    });
+}
+
+fn json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        fragment().prop_map(Value::from),
+    ];
+    leaf.prop_recursive(3, 12, 4, |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..3).prop_map(Value::from),
+            prop::collection::btree_map("[a-z_]{1,8}", inner, 0..3)
+                .prop_map(|m| m.into_iter().collect::<serde_json::Map<_, _>>().into()),
+        ]
+    })
+}
+
+/// Every value of a tree, so that one can be replaced.
+fn replace_nth(value: &mut Value, n: &mut usize, new: &Value) {
+    if *n == 0 {
+        *value = new.clone();
+        *n = usize::MAX;
+        return;
+    }
+    *n -= 1;
+    match value {
+        Value::Array(items) => items.iter_mut().for_each(|v| step(v, n, new)),
+        Value::Object(members) => members.iter_mut().for_each(|(_, v)| step(v, n, new)),
+        _ => {}
+    }
+}
+
+fn step(value: &mut Value, n: &mut usize, new: &Value) {
+    if *n < usize::MAX / 2 {
+        replace_nth(value, n, new);
+    }
+}
+
+/// Guards against objects in the store that crash every node that reads them.
+#[test]
+fn mutated_objects() {
+    let objects = parse("t", TEMPLATE)
+        .expect("the template is valid")
+        .config
+        .to_objects();
+    let keys: Vec<String> = objects.iter().map(|(k, _)| k.to_owned()).collect();
+    let change = (prop::sample::select(keys), 0usize..20, json());
+    check(5, 3000, &change, |(key, n, new)| {
+        let mut changed: Objects = objects.clone();
+        let mut value = changed.remove(&key).expect("the key exists");
+        replace_nth(&mut value, &mut n.clone(), &new);
+        changed.insert(key.clone(), value);
+        match Config::from_objects(&changed) {
+            Ok(config) => drop(config.check().map_err(|p| assert_places(&p))),
+            Err(problems) => {
+                assert_places(&problems);
+                assert!(problems.0.iter().all(|p| !p.key.is_empty()), "{problems}");
+            }
+        }
+        let mut applied = objects.clone();
+        applied.apply(&objects.delta(&changed));
+        assert_eq!(applied.digest(), changed.digest());
+        let _ = coriandercove_config::diff::diff(&objects, &changed);
+    });
+}
+
+/// Guards against keys of objects that no writer produces.
+#[test]
+fn arbitrary_objects() {
+    let kinds = vec![
+        "site",
+        "zone",
+        "link",
+        "pipeline",
+        "service",
+        "account",
+        "target",
+        "placement",
+        "limits",
+        "claims",
+        "",
+        "x",
+    ];
+    let item = (prop::sample::select(kinds), "\\PC{0,10}", json());
+    check(6, 2000, &prop::collection::vec(item, 0..4), |items| {
+        let entries = items
+            .into_iter()
+            .map(|(kind, name, v)| (format!("{kind}/{name}"), v));
+        let objects: Objects = entries.collect();
+        if let Err(problems) = Config::from_objects(&objects) {
+            assert_places(&problems);
+        }
+    });
+}
