Rate running chains and split slots among entries

A stream over a degraded link moves only if the rest of its answer comes 1.5 times sooner, the new prefill included. Entries learn how many requests of a model they may have in progress. Paths from far heads stop at the best total found so far.

--- a/crates/coriandercove_policy/src/chain.rs
+++ b/crates/coriandercove_policy/src/chain.rs
@@ -4,27 +4,35 @@
 //! boundaries through a seeded sample of the usable targets. The compute time of a target grows
 //! with its queue, so that stages are loaded evenly.
 
+mod build;
 mod fleet;
 mod links;
 mod path;
+mod refuse;
 mod sample;
 mod types;
 mod view;
 
 use std::time::Duration;
 
-use coriandercove_base::{ModelId, Time, ZoneId, rng::Rng};
+use coriandercove_base::{Time, ZoneId, rng::Rng};
 
-use crate::explain::{ChainExplanation, RefusalReason};
-use fleet::{Fleet, Group, Moment, Usable};
-use links::{LinkTime, RequestLinks, ZoneLinks};
-use path::{Node, Path, Solver};
+use crate::explain::ChainExplanation;
+use build::{chain, node, nodes};
+use fleet::{Fleet, Usable};
+use links::{RequestLinks, ZoneLinks};
+use path::Solver;
+use refuse::refusal;
 
 pub use types::{
     Candidate, Chain, ChainHop, ChainRequest, LinkCost, LoadReport, NoChain, PlannerConfig,
     TargetState,
 };
 
+/// Gain from which a running stream moves. Smaller gains do not pay for the risk that the
+/// estimates are wrong and the stream moves back.
+const MOVE_FACTOR: f64 = 1.5;
+
 /// Known targets and links, and the own outstanding work, of one entry.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -142,12 +150,32 @@
         self.fleet.finish(chain);
     }
 
-    /// Requests that the targets can take at once, limited by the scarcest layer.
+    /// Expected time between tokens of a running chain under the present load and links;
+    /// `None` if one of its targets is unknown. With [`is_move_worthwhile`] it decides on a
+    /// replacement after a link has degraded.
+    #[must_use]
+    pub fn per_token(&self, chain: &Chain, req: &ChainRequest<'_>, now: Time) -> Option<Duration> {
+        let at = self.fleet.moment(now, &self.cfg);
+        let links = RequestLinks::new(&self.links, req, self.cfg.default_link);
+        let nodes = chain.hops.iter().map(|hop| {
+            let i = self.fleet.index(&hop.target)?;
+            Some(node(&self.fleet, i, hop.end_layer, req, at))
+        });
+        let nodes: Vec<_> = nodes.collect::<Option<_>>()?;
+        let order: Vec<usize> = (0..nodes.len()).collect();
+        let key = (&chain.model, &chain.version);
+        let again = build::chain(&self.fleet, &nodes, &order, req, &links, key);
+        Some(again.per_token)
+    }
+
+    /// Requests of a model that this entry may have in progress, limited by the scarcest layer:
+    /// what other entries leave free, and at least an even part among `entries` live ones.
     #[must_use]
-    pub fn concurrency(&self, model: &str) -> u32 {
-        self.fleet
-            .versions(model, None)
-            .map(|(_, groups)| self.fleet.concurrency(groups))
+    pub fn own_slots(&self, model: &str, entries: usize, now: Time) -> u32 {
+        let at = self.fleet.moment(now, &self.cfg);
+        let versions = self.fleet.versions(model, None);
+        versions
+            .map(|(_, groups)| self.fleet.own_slots(groups, entries, at))
             .sum()
     }
 
@@ -169,7 +197,8 @@
                 let path =
                     self.solver
                         .solve(&nodes, req.first_layer, req.end_layer, req.ring, &links)?;
-                let chain = chain(&self.fleet, &nodes, &path, req, &links, (model, version));
+                let key = (model, version);
+                let chain = chain(&self.fleet, &nodes, &path.nodes, req, &links, key);
                 Some((path.total, chain))
             };
             let mut found = attempt(&picked);
@@ -194,6 +223,15 @@
     }
 }
 
+/// Whether a running stream should move to a new chain: the rest of its answer comes sooner by
+/// the hysteresis factor of links, the prefill on the new chain included.
+#[must_use]
+pub fn is_move_worthwhile(per_token: Duration, new: &Chain, tokens_left: u32) -> bool {
+    let stay = per_token.as_secs_f64() * f64::from(tokens_left);
+    let go = new.first_token.as_secs_f64() + new.per_token.as_secs_f64() * f64::from(tokens_left);
+    stay > MOVE_FACTOR * go
+}
+
 impl ChainRequest<'_> {
     /// KV tokens that the request reserves at every stage.
     #[must_use]
@@ -209,146 +247,5 @@
     }
 }
 
-fn nodes(fleet: &Fleet, picked: &[u32], req: &ChainRequest<'_>, at: Moment) -> Vec<Node> {
-    let mut nodes = Vec::with_capacity(picked.len());
-    for i in picked {
-        let c = &fleet.slot(*i).candidate;
-        if c.stops_early {
-            let exits = exits(fleet, picked, c.first_layer, c.end_layer.min(req.end_layer));
-            nodes.extend(exits.map(|exit| node(fleet, *i, exit, req, at)));
-        }
-        if c.end_layer <= req.end_layer || c.stops_early {
-            nodes.push(node(fleet, *i, c.end_layer.min(req.end_layer), req, at));
-        }
-    }
-    nodes.sort_by_key(|n| n.exit);
-    nodes
-}
-
-/// Layers strictly inside a range where another candidate can take over.
-fn exits<'a>(
-    fleet: &'a Fleet,
-    picked: &'a [u32],
-    first: u16,
-    end: u16,
-) -> impl Iterator<Item = u16> + use<'a> {
-    let mut starts: Vec<u16> = picked
-        .iter()
-        .map(|i| fleet.slot(*i).candidate.first_layer)
-        .filter(|s| first < *s && *s < end)
-        .collect();
-    starts.sort_unstable();
-    starts.dedup();
-    starts.into_iter()
-}
-
-fn node(fleet: &Fleet, i: u32, exit: u16, req: &ChainRequest<'_>, at: Moment) -> Node {
-    let slot = fleet.slot(i);
-    let c = &slot.candidate;
-    let busy = 1.0 + slot.queue(at);
-    let prefill = c.prefill_per_layer.as_nanos() as f64;
-    let saved = f64::from(req.cached_tokens(&c.target)) * prefill;
-    let prompt = f64::from(req.prompt_tokens) * prefill * busy - saved;
-    let token = c.decode_per_layer.as_nanos() as f64 * busy;
-    Node {
-        slot: i,
-        zone: slot.zone,
-        first: c.first_layer,
-        exit,
-        prompt,
-        token,
-        total: (prompt + f64::from(req.output_tokens) * token).max(f64::MIN_POSITIVE),
-    }
-}
-
-fn chain(
-    fleet: &Fleet,
-    nodes: &[Node],
-    path: &Path,
-    req: &ChainRequest<'_>,
-    links: &RequestLinks<'_>,
-    (model, version): (&ModelId, &String),
-) -> Chain {
-    let mut time = LinkTime::default();
-    let mut add = |link: LinkTime| {
-        time.prompt += link.prompt;
-        time.token += link.token;
-    };
-    let picked: Vec<&Node> = path.nodes.iter().map(|i| &nodes[*i]).collect();
-    let (head, last) = (picked[0], picked[picked.len() - 1]);
-    add(links.enter(head.zone));
-    add(links.leave(last.zone, head.zone));
-    let mut hops = Vec::with_capacity(picked.len());
-    let mut layer = req.first_layer;
-    for (k, node) in picked.iter().enumerate() {
-        if k > 0 {
-            add(links.between(picked[k - 1], node));
-        }
-        let layers = f64::from(node.exit - layer);
-        add(LinkTime {
-            prompt: layers * node.prompt,
-            token: layers * node.token,
-            delay: 0.0,
-        });
-        let c = &fleet.slot(node.slot).candidate;
-        hops.push(ChainHop {
-            target: c.target.clone(),
-            zone: c.zone.clone(),
-            first_layer: layer,
-            end_layer: node.exit,
-        });
-        layer = node.exit;
-    }
-    Chain {
-        model: model.clone(),
-        version: version.clone(),
-        hops,
-        first_token: Duration::from_nanos(time.prompt as u64),
-        per_token: Duration::from_nanos(time.token as u64),
-        kv_tokens: req.kv_tokens(),
-    }
-}
-
-/// Why there is no cover: the mildest cause over all versions.
-fn refusal(fleet: &Fleet, req: &ChainRequest<'_>, at: Moment) -> NoChain {
-    let mut known = false;
-    let mut worst = NoChain {
-        reason: RefusalReason::NoTarget,
-        uncovered: None,
-    };
-    for (_, groups) in fleet.versions(req.model, req.version) {
-        known = true;
-        let no_chain = cause(fleet, groups, req, at);
-        if worst.uncovered.is_none() || no_chain.reason != RefusalReason::NoTarget {
-            worst = no_chain;
-        }
-    }
-    if !known {
-        worst.reason = RefusalReason::UnknownModel;
-    }
-    worst
-}
-
-fn cause(fleet: &Fleet, groups: &[Group], req: &ChainRequest<'_>, at: Moment) -> NoChain {
-    let ready = |u| !matches!(u, Usable::NotReady | Usable::Excluded);
-    let below_limit = |u| matches!(u, Usable::Yes | Usable::NoKvMemory);
-    if let Some(layer) = sample::gap(fleet, groups, req, ready, at) {
-        return NoChain {
-            reason: RefusalReason::NoTarget,
-            uncovered: Some(layer),
-        };
-    }
-    let full = sample::gap(fleet, groups, req, below_limit, at);
-    let short = sample::gap(fleet, groups, req, |u| u == Usable::Yes, at);
-    NoChain {
-        reason: if full.is_some() {
-            RefusalReason::NoCapacity
-        } else {
-            RefusalReason::KvExhausted
-        },
-        uncovered: full.or(short),
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/coriandercove_policy/src/chain/fleet.rs
+++ b/crates/coriandercove_policy/src/chain/fleet.rs
@@ -343,26 +343,28 @@
             .map(|(key, groups)| (key, groups.as_slice()))
     }
 
-    /// Sum of the concurrency limits of ready targets at the scarcest layer of one version.
-    pub(super) fn concurrency(&self, groups: &[Group]) -> u32 {
+    /// Sequences that this entry may have in progress on one version, at the scarcest layer.
+    pub(super) fn own_slots(&self, groups: &[Group], entries: usize, at: Moment) -> u32 {
         let mut edges: Vec<Layer> = groups
             .iter()
             .flat_map(|g| [g.first_layer, g.end_layer])
             .collect();
         edges.sort_unstable();
         edges.dedup();
-        let at = |layer: Layer| -> u32 {
-            groups
+        let starts = &edges[..edges.len().saturating_sub(1)];
+        let at_layer = |layer: &Layer| {
+            let held = groups
                 .iter()
-                .filter(|g| g.first_layer <= layer && layer < g.end_layer)
-                .flat_map(|g| &g.members)
-                .map(|i| self.slot(*i))
-                .filter(|s| s.candidate.state == TargetState::Ready)
-                .map(Slot::limit)
-                .sum()
+                .filter(|g| g.first_layer <= *layer && *layer < g.end_layer);
+            let slots = held.flat_map(|g| &g.members).map(|i| self.slot(*i));
+            let ready = slots.filter(|s| s.candidate.state == TargetState::Ready);
+            let (limit, others) = ready.fold((0, 0), |(limit, others), s| {
+                (limit + s.limit(), others + s.outstanding(at) - s.own)
+            });
+            let even = limit.div_ceil(entries.max(1) as u32);
+            even.max(limit.saturating_sub(others))
         };
-        let starts = &edges[..edges.len().saturating_sub(1)];
-        starts.iter().map(|layer| at(*layer)).min().unwrap_or(0)
+        starts.iter().map(at_layer).min().unwrap_or(0)
     }
 }
 
--- a/crates/coriandercove_policy/src/chain/links.rs
+++ b/crates/coriandercove_policy/src/chain/links.rs
@@ -1,6 +1,7 @@
 //! Link costs between zones and targets, as the planner uses them.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use coriandercove_base::ZoneId;
 
@@ -11,8 +12,8 @@
 #[derive(Debug, Default)]
 pub(super) struct ZoneLinks {
     zones: Vec<ZoneId>,
-    /// Cost by (from, to) zone number.
-    costs: HashMap<(u16, u16), LinkCost>,
+    /// Cost by from zone, then to zone; short rows end in unknown links.
+    costs: Vec<Vec<Option<LinkCost>>>,
     /// Cost by (from, to) target number; overrides that of the zones.
     pub(super) overrides: HashMap<(u32, u32), LinkCost>,
 }
@@ -21,6 +22,7 @@
     pub(super) fn intern(&mut self, zone: &ZoneId) -> u16 {
         self.find(zone).unwrap_or_else(|| {
             self.zones.push(zone.clone());
+            self.costs.push(Vec::new());
             (self.zones.len() - 1) as u16
         })
     }
@@ -30,17 +32,21 @@
     }
 
     pub(super) fn set(&mut self, from: &ZoneId, to: &ZoneId, cost: LinkCost) {
-        let key = (self.intern(from), self.intern(to));
-        self.costs.insert(key, cost);
+        let (from, to) = (usize::from(self.intern(from)), usize::from(self.intern(to)));
+        let row = &mut self.costs[from];
+        row.resize(row.len().max(to + 1), None);
+        row[to] = Some(cost);
     }
 
     fn cost(&self, from: u16, to: u16, default: LinkCost) -> LinkCost {
         let local = LinkCost {
-            delay: std::time::Duration::ZERO,
+            delay: Duration::ZERO,
             bandwidth: 0,
         };
         let unknown = if from == to { local } else { default };
-        self.costs.get(&(from, to)).copied().unwrap_or(unknown)
+        let row = self.costs.get(usize::from(from));
+        let known = row.and_then(|row| row.get(usize::from(to)));
+        known.copied().flatten().unwrap_or(unknown)
     }
 }
 
--- a/crates/coriandercove_policy/src/chain/path.rs
+++ b/crates/coriandercove_policy/src/chain/path.rs
@@ -51,7 +51,7 @@
         links: &RequestLinks<'_>,
     ) -> Option<Path> {
         if !ring {
-            return self.solve_for(nodes, first, end, None, links);
+            return self.solve_for(nodes, first, end, (None, f64::INFINITY), links);
         }
         let mut heads: Vec<u16> = nodes
             .iter()
@@ -60,24 +60,24 @@
             .collect();
         heads.sort_unstable();
         heads.dedup();
+        // Near heads first, since their paths bound the search from far ones.
+        heads.sort_by(|a, b| links.distance(*a).total_cmp(&links.distance(*b)));
         let mut best: Option<Path> = None;
         for head in heads {
-            let path = self.solve_for(nodes, first, end, Some(head), links);
-            if let Some(path) = path
-                && best.as_ref().is_none_or(|b| path.total < b.total)
-            {
-                best = Some(path);
-            }
+            let bound = best.as_ref().map_or(f64::INFINITY, |b| b.total);
+            let path = self.solve_for(nodes, first, end, (Some(head), bound), links);
+            best = path.or(best);
         }
         best
     }
 
+    /// Fastest cover with its head in the given zone, if it is faster than the bound.
     fn solve_for(
         &mut self,
         nodes: &[Node],
         first: Layer,
         end: Layer,
-        head: Option<u16>,
+        (head, bound): (Option<u16>, f64),
         links: &RequestLinks<'_>,
     ) -> Option<Path> {
         self.dist.clear();
@@ -85,10 +85,11 @@
         for (i, node) in nodes.iter().enumerate() {
             let (dist, prev) = self.reach(nodes, i, first, head, links);
             debug_assert!(dist >= 0.0, "negative time at layer {}", node.exit);
+            let dist = if dist < bound { dist } else { f64::INFINITY };
             self.dist.push(dist);
             self.prev.push(prev);
         }
-        self.finish(nodes, end, head, links)
+        self.finish(nodes, end, (head, bound), links)
     }
 
     /// Shortest time to the exit of node `i`, and the node before it.
@@ -125,10 +126,10 @@
         &self,
         nodes: &[Node],
         end: Layer,
-        head: Option<u16>,
+        (head, bound): (Option<u16>, f64),
         links: &RequestLinks<'_>,
     ) -> Option<Path> {
-        let mut best = (f64::INFINITY, NONE);
+        let mut best = (bound, NONE);
         for (i, node) in nodes.iter().enumerate().filter(|(_, n)| n.exit == end) {
             let leave = links.leave(node.zone, head.unwrap_or(node.zone));
             let dist = self.dist[i] + links.total(leave);
--- a/crates/coriandercove_policy/src/chain/tests.rs
+++ b/crates/coriandercove_policy/src/chain/tests.rs
@@ -6,7 +6,7 @@
 use rand::Rng as _;
 
 use super::*;
-use crate::explain::CandidateVerdict;
+use crate::explain::{CandidateVerdict, RefusalReason};
 
 mod brute;
 
@@ -285,6 +285,64 @@
     expect_that!(counts[1], le(2));
 }
 
+/// Guards against streams that stay on a degraded link, and ones that move for a small gain.
+#[gtest]
+fn a_stream_moves_only_for_a_clear_gain() {
+    let mut all = pairs();
+    all[3].zone = zone("z2");
+    let mut planner = planner(&all);
+    let at = zone("z1");
+    let exclude = ["b1".into()];
+    let req = request(&at, &exclude);
+    let chain = planner
+        .choose(&req, Time::ZERO, &mut rng::seeded(1))
+        .expect("a chain");
+    let before = planner
+        .per_token(&chain, &req, Time::ZERO)
+        .expect("known targets");
+    expect_that!(before, eq(chain.per_token));
+    let new = choose(&mut planner, &[]).expect("a chain");
+    expect_false!(is_move_worthwhile(before, &new, 1000));
+    for (from, to) in [("z1", "z2"), ("z2", "z1")] {
+        let slow = LinkCost {
+            delay: Duration::from_millis(5),
+            bandwidth: 0,
+        };
+        planner.set_zone_link(&zone(from), &zone(to), slow);
+    }
+    let after = planner
+        .per_token(&chain, &req, Time::ZERO)
+        .expect("known targets");
+    expect_that!(after - before, eq(Duration::from_millis(9)));
+    expect_true!(is_move_worthwhile(after, &new, 1000));
+    // The prefill of 12 ms on the new chain does not pay for one token.
+    expect_false!(is_move_worthwhile(after, &new, 1));
+}
+
+/// Guards against entries that together dispatch far more than the targets take.
+#[gtest]
+fn own_slots_leave_room_for_other_entries() {
+    let mut planner = planner(&pairs()[..3]);
+    expect_that!(planner.own_slots("m", 4, Time::ZERO), eq(16));
+    let busy = LoadReport {
+        sequences: 10,
+        ..LoadReport::default()
+    };
+    planner.report_load("b1", Time::ZERO, busy);
+    expect_that!(planner.own_slots("m", 4, Time::ZERO), eq(6));
+    planner.report_load(
+        "b1",
+        Time::ZERO,
+        LoadReport {
+            sequences: 15,
+            ..busy
+        },
+    );
+    expect_that!(planner.own_slots("m", 1, Time::ZERO), eq(16));
+    planner.set_state("b1", TargetState::Down);
+    expect_that!(planner.own_slots("m", 4, Time::ZERO), eq(0));
+}
+
 /// Guards against an explanation that contradicts the choice.
 #[gtest]
 fn an_explanation_names_every_target() {
--- a/crates/coriandercove_policy/src/chain/view.rs
+++ b/crates/coriandercove_policy/src/chain/view.rs
@@ -4,8 +4,8 @@
 
 use coriandercove_base::Layer;
 
+use super::build::node;
 use super::fleet::{Fleet, Moment, Usable};
-use super::node;
 use super::types::{Chain, ChainRequest, NoChain};
 use crate::explain::{CandidateVerdict, CandidateView, ChainExplanation};
 
