Correct the fair queue by the actual cost

A request's output length is unknown on arrival, so an account that declares too little got more than its share. The release of a request now moves the account's tag by the difference. With a threefold cost, the account gets a third of the requests (test corrected_costs_count).

--- a/crates/coriandercove_policy/examples/saturation.rs
+++ b/crates/coriandercove_policy/examples/saturation.rs
@@ -345,5 +345,15 @@
             }
         }
     }
+    for pressure in [2.0, 3.0] {
+        measure(&Setup {
+            name: "330 targets, 3 ranges",
+            ranges: thirds.clone(),
+            per_range: 110,
+            zones: 3,
+            entries: 48,
+            pressure,
+        })?;
+    }
     Ok(())
 }
--- a/crates/coriandercove_policy/src/admission.rs
+++ b/crates/coriandercove_policy/src/admission.rs
@@ -191,7 +191,8 @@
         self.remember(run.arrival, run.place);
     }
 
-    /// Frees the slot of a dispatched request; `actual_cost` corrects the account's quota.
+    /// Frees the slot of a dispatched request; `actual_cost` corrects the account's quota and
+    /// its place in the fair queue.
     pub fn release(&mut self, now: Time, req: RequestId, actual_cost: u64) {
         let Some(run) = self.running.remove(&req) else {
             return;
@@ -199,6 +200,8 @@
         let correction = actual_cost as f64 - run.arrival.cost as f64;
         self.accounts.charge(&run.arrival.account, now, correction);
         if let Some(pool) = self.pools.get_mut(&run.arrival.pool) {
+            let (account, declared) = (&run.arrival.account, run.arrival.cost);
+            pool.fair.correct(account, declared, actual_cost);
             pool.complete(actual_cost, now.saturating_sub(run.since));
         }
     }
--- a/crates/coriandercove_policy/src/admission/accounts.rs
+++ b/crates/coriandercove_policy/src/admission/accounts.rs
@@ -132,13 +132,9 @@
     }
 
     pub(super) fn get_mut(&mut self, account: &AccountId) -> &mut Account {
-        if !self.accounts.contains_key(account) {
-            let new = Account::new(self.default_limits.clone());
-            self.accounts.insert(account.clone(), new);
-        }
-        self.accounts
-            .get_mut(account)
-            .expect("the account was inserted above")
+        let limits = &self.default_limits;
+        let entry = self.accounts.entry(account.clone());
+        entry.or_insert_with(|| Account::new(limits.clone()))
     }
 
     pub(super) fn weight(&self, account: &str) -> f64 {
--- a/crates/coriandercove_policy/src/admission/fair.rs
+++ b/crates/coriandercove_policy/src/admission/fair.rs
@@ -148,6 +148,24 @@
         self.push(&popped.account, weight, popped.place, popped.item);
     }
 
+    /// Charges an account for cost beyond what a served request declared, or refunds it. Without
+    /// this, an account that declares too little would get more than its share.
+    pub fn correct(&mut self, account: &AccountId, declared: u64, actual: u64) {
+        let now = self.virtual_time;
+        let Some(flow) = self.flows.get_mut(account) else {
+            return;
+        };
+        let is_backlogged = !flow.items.is_empty();
+        if is_backlogged {
+            self.order.remove(&(flow.start, account.clone()));
+        }
+        let (declared, actual) = (flow.span(declared), flow.span(actual));
+        flow.start = (flow.start + actual).saturating_sub(declared).max(now);
+        if is_backlogged {
+            self.order.insert((flow.start, account.clone()));
+        }
+    }
+
     /// Removes a waiting request.
     pub fn remove(&mut self, account: &AccountId, place: Place) -> Option<FairItem> {
         let flow = self.flows.get_mut(account)?;
--- a/crates/coriandercove_policy/src/admission/fair/tests.rs
+++ b/crates/coriandercove_policy/src/admission/fair/tests.rs
@@ -15,6 +15,10 @@
     },
     Pop,
     PutBack,
+    Correct {
+        account: u8,
+        actual: u64,
+    },
     Remove {
         pick: usize,
     },
@@ -25,6 +29,7 @@
         4 => (0_u8..6, 0_u8..3, 1_u64..2000).prop_map(|(account, priority, cost)| Op::Push { account, priority, cost }),
         3 => Just(Op::Pop),
         1 => Just(Op::PutBack),
+        1 => (0_u8..6, 1_u64..2000).prop_map(|(account, actual)| Op::Correct { account, actual }),
         1 => any::<usize>().prop_map(|pick| Op::Remove { pick }),
     ]
 }
@@ -37,6 +42,24 @@
     [0.5, 1.0, 2.0, 3.0, 10.0, 100.0][usize::from(account.as_bytes()[1] - b'0')]
 }
 
+/// Guards against an account that gets more than its share by declaring too little.
+#[test]
+fn corrected_costs_count() {
+    let mut queue = FairQueue::default();
+    for (i, account) in (0..800).map(|i| (i, name(i as u8 % 2))) {
+        let item = FairItem { req: i, cost: 100 };
+        queue.push(&account, 1.0, (0, i as u64), item);
+    }
+    let mut served = [0, 0];
+    for _ in 0..400 {
+        let account = queue.pop().expect("requests wait").account;
+        let declares_too_little = account == name(0);
+        queue.correct(&account, 100, if declares_too_little { 300 } else { 100 });
+        served[usize::from(!declares_too_little)] += 1;
+    }
+    assert_eq!(served, [100, 300]);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(32), ..ProptestConfig::default() })]
 
@@ -63,6 +86,7 @@
                         prop_assert_eq!(model.remove(&p.item.req), Some(got));
                     }
                 }
+                Op::Correct { account, actual } => queue.correct(&name(account), 1000, actual),
                 Op::PutBack => if let Some(p) = last.take() {
                     model.insert(p.item.req, (p.account.clone(), p.place, p.item.cost));
                     let weight = weight(&p.account);
--- a/crates/coriandercove_policy/src/admission/types.rs
+++ b/crates/coriandercove_policy/src/admission/types.rs
@@ -30,9 +30,9 @@
     /// Decision at the door.
     #[derive(Eq)]
     pub enum Admitted {
-        /// Dispatch at once; the request holds a slot until [`Admission::release`].
+        /// Dispatch at once; the request holds a slot until [`super::Admission::release`].
         Dispatch,
-        /// Waits; [`Admission::poll`] yields it later.
+        /// Waits; [`super::Admission::poll`] yields it later.
         Queued {
             /// Estimated wait.
             estimated_wait: Duration,
@@ -44,7 +44,7 @@
     /// Decision about a waiting request.
     #[derive(Eq)]
     pub enum AdmissionAction {
-        /// Dispatch now; the request holds a slot until [`Admission::release`].
+        /// Dispatch now; the request holds a slot until [`super::Admission::release`].
         Dispatch {
             /// The request.
             req: RequestId,
--- a/crates/coriandercove_policy/src/affinity.rs
+++ b/crates/coriandercove_policy/src/affinity.rs
@@ -43,8 +43,8 @@
 const TRUST_STEP: f64 = 0.2;
 /// Factor on the trust when events are missing, since they may have been evictions.
 const GAP_TRUST: f64 = 0.8;
-/// Part of the missing trust that an event without a gap restores, so that a target that gets
-/// no requests is tried again some day.
+/// Part of the missing trust that an event without a gap restores. Without it, a target that gets
+/// no requests for want of trust would never regain any.
 const EVENT_TRUST: f64 = 0.01;
 /// Least trust, so that observations can raise it again.
 const MIN_TRUST: f64 = 0.05;
--- a/crates/coriandercove_policy/src/chain.rs
+++ b/crates/coriandercove_policy/src/chain.rs
@@ -89,6 +89,7 @@
     }
 
     /// Sets the share of its usual load that a target gets, above 0 and at most 1 (slow start).
+    /// An ejected target gets [`TargetState::Ejected`] instead.
     pub fn set_weight(&mut self, target: &str, weight: f64) {
         self.fleet.set_weight(target, weight);
     }
