--- a/crates/coriandercove_policy/src/admission.rs
+++ b/crates/coriandercove_policy/src/admission.rs
@@ -33,6 +33,8 @@
 struct Waiting {
     arrival: Arrival,
     place: Place,
+    /// Latest time of dispatch that meets the deadline.
+    latest: Time,
 }
 
 #[derive(Debug)]
@@ -40,6 +42,7 @@
     arrival: Arrival,
     place: Place,
     since: Time,
+    is_answered: bool,
 }
 
 /// Admission of one entry.
@@ -188,7 +191,21 @@
             };
             pool.fair.put_back(popped, weight);
         }
-        self.remember(run.arrival, run.place);
+        let service = run.arrival.service_time;
+        self.remember(run.arrival, run.place, service);
+    }
+
+    /// Notes that a dispatched request has reached what its deadline asks for, such as the first
+    /// token. Admission learns from it how far service times exceed the expected ones.
+    pub fn answered(&mut self, now: Time, req: RequestId) {
+        let Some(run) = self.running.get_mut(&req).filter(|r| !r.is_answered) else {
+            return;
+        };
+        run.is_answered = true;
+        let actual = now.saturating_sub(run.since);
+        if let Some(pool) = self.pools.get_mut(&run.arrival.pool) {
+            pool.answered(run.arrival.service_time, actual);
+        }
     }
 
     /// Frees the slot of a dispatched request; `actual_cost` corrects the account's quota and
@@ -238,12 +255,14 @@
         if pool.slots == 0 {
             return Err(refusal(RefusalReason::NoCapacity, wait));
         }
+        let mut service = arrival.service_time;
         if !pool.is_idle(now) {
             self.check_bounds(&arrival.account, wait)?;
+            // Under load, the slots go to requests that will nearly surely be in time. Half of
+            // those that allow only for the mean service time would be served in vain.
+            service = pool.cautious(service);
         }
-        let finish = now
-            .saturating_add(wait)
-            .saturating_add(arrival.service_time);
+        let finish = now.saturating_add(wait).saturating_add(service);
         if finish > arrival.deadline {
             let late = finish - arrival.deadline;
             return Err(refusal(RefusalReason::DeadlineTooShort, late));
@@ -271,17 +290,27 @@
 
     fn enqueue(&mut self, arrival: Arrival, place: Place) {
         let weight = self.accounts.weight(&arrival.account);
+        let mut service = arrival.service_time;
         if let Some(pool) = self.pools.get_mut(&arrival.pool) {
             pool.fair
                 .push(&arrival.account, weight, place, item(&arrival));
+            service = pool.cautious(service);
         }
-        self.remember(arrival, place);
+        self.remember(arrival, place, service);
     }
 
-    fn remember(&mut self, arrival: Arrival, place: Place) {
+    /// Notes a waiting request that is to be dispatched `service` before its deadline.
+    fn remember(&mut self, arrival: Arrival, place: Place, service: Duration) {
         self.accounts.get_mut(&arrival.account).queued += 1;
-        self.expiry.insert((latest_start(&arrival), arrival.req));
-        self.waiting.insert(arrival.req, Waiting { arrival, place });
+        let latest = arrival.deadline.saturating_sub(service);
+        self.expiry.insert((latest, arrival.req));
+        let req = arrival.req;
+        let wait = Waiting {
+            arrival,
+            place,
+            latest,
+        };
+        self.waiting.insert(req, wait);
     }
 
     /// Moves the next request of a pool from the queue to a slot.
@@ -293,13 +322,13 @@
         let popped = pool.fair.pop()?;
         pool.in_use += 1;
         let wait = self.waiting.remove(&popped.item.req)?;
-        self.expiry
-            .remove(&(latest_start(&wait.arrival), wait.arrival.req));
+        self.expiry.remove(&(wait.latest, wait.arrival.req));
         self.accounts.get_mut(&wait.arrival.account).queued -= 1;
         let run = Running {
             arrival: wait.arrival,
             place: wait.place,
             since: now,
+            is_answered: false,
         };
         self.running.insert(popped.item.req, run);
         Some(popped.item.req)
@@ -326,8 +355,9 @@
 
     /// Removes a waiting request and returns its cost to the quota.
     fn forget(&mut self, now: Time, req: RequestId) -> Option<Arrival> {
-        let Waiting { arrival, place } = self.waiting.remove(&req)?;
-        self.expiry.remove(&(latest_start(&arrival), req));
+        let wait = self.waiting.remove(&req)?;
+        self.expiry.remove(&(wait.latest, req));
+        let (arrival, place) = (wait.arrival, wait.place);
         if let Some(pool) = self.pools.get_mut(&arrival.pool) {
             pool.fair.remove(&arrival.account, place);
         }
@@ -345,10 +375,6 @@
     }
 }
 
-fn latest_start(arrival: &Arrival) -> Time {
-    arrival.deadline.saturating_sub(arrival.service_time)
-}
-
 fn refusal(reason: RefusalReason, wait: Duration) -> Refusal {
     Refusal {
         reason,
--- a/crates/coriandercove_policy/src/admission/pool.rs
+++ b/crates/coriandercove_policy/src/admission/pool.rs
@@ -15,7 +15,16 @@
 /// Longest wait that is estimated.
 const MAX_WAIT: Duration = Duration::from_secs(3600);
 
-#[derive(Debug, Default)]
+/// Quantile of the actual over the expected service time that waiting requests must allow for.
+const QUANTILE: f64 = 0.95;
+
+/// Step of the quantile estimate for each answer.
+const QUANTILE_STEP: f64 = 0.1;
+
+/// Bounds of the quantile estimate.
+const MARGINS: std::ops::RangeInclusive<f64> = 0.5..=4.0;
+
+#[derive(Debug)]
 pub(super) struct Pool {
     pub(super) slots: u32,
     pub(super) in_use: u32,
@@ -25,6 +34,22 @@
     cost: f64,
     /// Decayed sum of the seconds for which they held a slot.
     held: f64,
+    /// Estimated [`QUANTILE`] of the actual over the expected service time.
+    margin: f64,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            slots: 0,
+            in_use: 0,
+            fair: FairQueue::default(),
+            blocked_until: Time::ZERO,
+            cost: 0.0,
+            held: 0.0,
+            margin: 1.5,
+        }
+    }
 }
 
 impl Pool {
@@ -48,6 +73,24 @@
         self.held = self.held * DECAY + held.as_secs_f64();
     }
 
+    /// Takes an actual service time in. The estimate moves up on a longer one and down on a
+    /// shorter one, in the proportion that balances at the quantile.
+    pub(super) fn answered(&mut self, expected: Duration, actual: Duration) {
+        let ratio = actual.as_secs_f64() / expected.as_secs_f64().max(1e-3);
+        let part = if ratio > self.margin {
+            QUANTILE
+        } else {
+            QUANTILE - 1.0
+        };
+        let margin = self.margin + QUANTILE_STEP * part;
+        self.margin = margin.clamp(*MARGINS.start(), *MARGINS.end());
+    }
+
+    /// Service time that nearly all requests with this expected one keep to.
+    pub(super) fn cautious(&self, service_time: Duration) -> Duration {
+        service_time.mul_f64(self.margin)
+    }
+
     /// Cost served per second with all slots in use. Before the first completion, `guess`
     /// stands for the cost per second of one slot.
     pub(super) fn rate(&self, guess: f64) -> f64 {
--- a/crates/coriandercove_policy/src/admission/tests.rs
+++ b/crates/coriandercove_policy/src/admission/tests.rs
@@ -139,9 +139,10 @@
         admission.offer(Time::ZERO, late),
         matches_pattern!(Admitted::Queued { .. })
     );
-    expect_that!(admission.poll(secs(2.0)), is_empty());
+    // Before anything is known, 1.5 times the expected service time of 1 s is allowed for.
+    expect_that!(admission.poll(secs(1.5)), is_empty());
     let refused: Vec<_> = admission
-        .poll(secs(2.1))
+        .poll(secs(1.6))
         .into_iter()
         .map(|action| match action {
             AdmissionAction::Refuse { req, refusal } => (req, Some(refusal.reason)),
