Move the overload model to an integration test and an example

The figures of the overload model could be seen only by changing a test. The model now uses the public interface; an example prints goodput and shares, and the tests keep their bounds.

--- a/crates/coriandercove_policy/src/admission/fair.rs
+++ b/crates/coriandercove_policy/src/admission/fair.rs
@@ -45,8 +45,9 @@
 
 /// Shares a server among accounts in proportion to their weights.
 ///
-/// The virtual time is the start tag of the last request served and never falls. An account that
-/// had no competition is not punished for what it used, because the virtual time follows it.
+/// The virtual time is the start tag of the last request served and never falls. It follows an
+/// account that is alone, so capacity used without competition does not count against the
+/// account later.
 #[derive(Debug, Default)]
 pub struct FairQueue {
     virtual_time: u128,
--- a/crates/coriandercove_policy/src/admission/tests/model.rs
+++ b/crates/coriandercove_policy/tests/overload/model.rs
@@ -1,16 +1,24 @@
 //! A model of an entry under load: Poisson arrivals, a pool of slots, callers with deadlines.
 
-use super::*;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+use coriandercove_base::{RequestId, Time, rng};
+use coriandercove_policy::admission::{
+    AccountLimits, Admission, AdmissionAction, AdmissionConfig, Admitted, Arrival,
+};
+use rand::Rng as _;
 
 /// Load of one account as a multiple of the capacity.
-pub(super) struct Load {
-    pub(super) account: &'static str,
-    pub(super) weight: f64,
-    pub(super) demand: f64,
+pub struct Load {
+    pub account: &'static str,
+    pub weight: f64,
+    pub demand: f64,
 }
 
 impl Load {
-    pub(super) fn new(account: &'static str, demand: f64) -> Self {
+    pub fn new(account: &'static str, demand: f64) -> Self {
         Self {
             account,
             weight: 1.0,
@@ -25,6 +33,10 @@
 const EXPECTED: f64 = 1.0;
 const SECONDS: f64 = 300.0;
 
+fn secs(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
 struct Model {
     admission: Admission,
     owners: HashMap<RequestId, (usize, Time)>,
@@ -65,14 +77,15 @@
 }
 
 /// Answers in time for each account, as a share of the capacity.
-pub(super) fn run(seed: u64, slots: u32, loads: &[Load]) -> Vec<f64> {
+pub fn run(seed: u64, slots: u32, loads: &[Load]) -> Vec<f64> {
     let mut model = Model {
-        admission: admission(slots),
+        admission: Admission::new(AdmissionConfig::new("e1".into())),
         owners: HashMap::new(),
         done: BinaryHeap::new(),
         good: vec![0.0; loads.len()],
         rng: rng::seeded(seed),
     };
+    model.admission.set_slots("m", slots);
     let mut next: BinaryHeap<Reverse<(Time, usize)>> = BinaryHeap::new();
     for (i, load) in loads.iter().enumerate() {
         let limits = AccountLimits {
@@ -90,11 +103,18 @@
         }
         model.finish_until(now);
         req += 1;
-        let mut a = arrival(req, loads[i].account, COST, now);
-        a.deadline = now + secs(DEADLINE);
-        a.service_time = secs(EXPECTED);
-        model.owners.insert(req, (i, a.deadline));
-        if model.admission.offer(now, a) == Admitted::Dispatch {
+        let deadline = now + secs(DEADLINE);
+        model.owners.insert(req, (i, deadline));
+        let arrival = Arrival {
+            req,
+            account: loads[i].account.into(),
+            pool: "m".into(),
+            cost: COST,
+            priority: 1,
+            deadline,
+            service_time: secs(EXPECTED),
+        };
+        if model.admission.offer(now, arrival) == Admitted::Dispatch {
             model.start(now, req);
         }
         model.poll(now);
