--- a/crates/coriandercove_state/src/fence/tests.rs
+++ b/crates/coriandercove_state/src/fence/tests.rs
@@ -1,1 +1,34 @@
+use googletest::prelude::*;
 
+use super::*;
+
+/// Guards against orders that pass before the store was read, or after a newer holder's.
+#[gtest]
+fn orders_need_a_known_and_current_number() {
+    let mut gate = FenceGate::new();
+    expect_that!(
+        FenceGate::check(&mut gate, "p", 9),
+        err(eq(FenceRefusal::Unknown))
+    );
+    gate.on_read("p", 5);
+    let old = FenceRefusal::Old { highest: 5 };
+    expect_that!(FenceGate::check(&mut gate, "p", 4), err(eq(old)));
+    expect_that!(FenceGate::check(&mut gate, "p", 5), ok(eq(())));
+    expect_that!(FenceGate::check(&mut gate, "p", 8), ok(eq(())));
+    let old = FenceRefusal::Old { highest: 8 };
+    expect_that!(FenceGate::check(&mut gate, "p", 5), err(eq(old)));
+    expect_that!(
+        FenceGate::check(&mut gate, "q", 9),
+        err(eq(FenceRefusal::Unknown))
+    );
+}
+
+/// Guards against a late read of the store that lowers the number.
+#[gtest]
+fn a_late_read_does_not_lower_the_number() {
+    let mut gate = FenceGate::new();
+    gate.on_read("p", 8);
+    gate.on_read("p", 5);
+    let old = FenceRefusal::Old { highest: 8 };
+    expect_that!(FenceGate::check(&mut gate, "p", 7), err(eq(old)));
+}
--- a/crates/coriandercove_state/src/lease/tests.rs
+++ b/crates/coriandercove_state/src/lease/tests.rs
@@ -1,1 +1,102 @@
+use googletest::prelude::*;
 
+use super::*;
+
+const S: Duration = Duration::from_secs(1);
+
+fn lease(node: &str) -> Lease {
+    let rng = coriandercove_base::rng::seeded(node.len() as u64);
+    Lease::new("p".into(), node.into(), 1, LeaseTimes::default(), rng)
+}
+
+fn written(action: &LeaseAction) -> Vec<u8> {
+    match action {
+        LeaseAction::Store(StoreCall::Create { value, .. } | StoreCall::PutIf { value, .. }) => {
+            value.clone()
+        }
+        other => panic!("no write: {other:?}"),
+    }
+}
+
+/// A lease that `a` acquired with version 3 at time zero.
+fn held() -> Lease {
+    let mut a = lease("a");
+    a.tick(Time::ZERO);
+    a.on_store(Time::ZERO, &StoreReply::Absent);
+    let actions = a.on_store(Time::ZERO, &StoreReply::Written(3));
+    assert_eq!(actions, vec![LeaseAction::Acquired(3)]);
+    a
+}
+
+/// Guards against a fencing number that changes with renewals, or that agents read wrongly.
+#[gtest]
+fn renewals_keep_the_number() {
+    let mut a = held();
+    let actions = a.tick(4 * S);
+    let record = decode(&written(&actions[0])).expect("a record");
+    expect_that!(fence_of(8, &record), eq(3));
+    expect_that!(a.on_store(4 * S, &StoreReply::Written(8)), is_empty());
+    expect_that!(a.held(18 * S), some(eq(3)));
+    expect_that!(a.held(19 * S), none());
+}
+
+/// Guards against losing the lease because the answer to an own renewal was lost.
+#[gtest]
+fn a_lost_renewal_is_read_back() {
+    let mut a = held();
+    let value = written(&a.tick(4 * S)[0]);
+    let get = a.on_store(5 * S, &StoreReply::Lost);
+    expect_that!(get, elements_are![matches_pattern!(LeaseAction::Store(_))]);
+    let version = 8;
+    a.on_store(5 * S, &StoreReply::Value { version, value });
+    expect_that!(a.held(18 * S), some(eq(3)));
+}
+
+/// Guards against a holder that keeps its belief after a pause longer than the lease.
+#[gtest]
+fn a_late_holder_learns_of_its_loss() {
+    let mut a = held();
+    expect_that!(a.held(20 * S), none());
+    let actions = a.tick(20 * S);
+    expect_that!(actions[0], eq(&LeaseAction::Lost));
+}
+
+/// Guards against taking a lease that is being renewed, and against one that nobody takes.
+#[gtest]
+fn only_an_unchanged_lease_is_taken() {
+    let mut a = held();
+    let mut b = lease("bb");
+    let mut value = written(&a.tick(4 * S)[0]);
+    for (second, version, is_taken) in
+        [(4, 8, false), (20, 9, false), (34, 9, false), (38, 9, true)]
+    {
+        let now = second * S;
+        b.tick(now);
+        let reply = StoreReply::Value {
+            version,
+            value: value.clone(),
+        };
+        let actions = b.on_store(now, &reply);
+        expect_that!(!actions.is_empty(), eq(is_taken), "at {second} s");
+        if is_taken {
+            value = written(&actions[0]);
+        }
+    }
+    let record = decode(&value).expect("a record");
+    expect_that!(fence_of(10, &record), eq(10));
+}
+
+/// Guards against a malformed or huge object that stops the process.
+#[gtest]
+fn malformed_objects_are_refused() {
+    expect_that!(decode(b"{}"), none());
+    expect_that!(decode(&[b' '; MAX_LEASE_BYTES + 1]), none());
+    let mut a = lease("a");
+    a.tick(Time::ZERO);
+    let reply = StoreReply::Value {
+        version: 1,
+        value: b"x".to_vec(),
+    };
+    let actions = a.on_store(Time::ZERO, &reply);
+    expect_that!(actions, elements_are![eq(&LeaseAction::Malformed)]);
+}
--- a/crates/coriandercove_state/src/once.rs
+++ b/crates/coriandercove_state/src/once.rs
@@ -285,6 +285,3 @@
         status: KeyStatus,
     },
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/coriandercove_state/tests/claims/main.rs
+++ b/crates/coriandercove_state/tests/claims/main.rs
@@ -7,6 +7,8 @@
 #[cfg(test)]
 mod faults;
 #[cfg(test)]
+mod flows;
+#[cfg(test)]
 mod leases;
 #[cfg(test)]
 mod regressions;
