Keep the shards of claims cheap under load

Deletion of old segments waited for an empty queue, which a busy shard never has; a refresh merged all claims again; and while the store was down, changes waited up to 2 s to be refused. Old segments are now looked for once a second, claims are merged only after sealed segments changed, and changes are refused at once, or answered from memory, until the store is tried again. The fuzz tests also tally what they reach and find writes to sealed segments.

--- a/crates/coriandercove_state/src/claim/index.rs
+++ b/crates/coriandercove_state/src/claim/index.rs
@@ -37,6 +37,8 @@
     pub sealed: BTreeMap<u64, Sealed>,
     pub active: Option<Active>,
     claims: HashMap<KeyHash, Claim>,
+    /// Whether sealed segments came or went since the claims were last merged.
+    is_stale: bool,
 }
 
 impl View {
@@ -67,10 +69,30 @@
             self.active = None;
         }
         self.sealed.insert(number, sealed);
+        self.is_stale = true;
     }
 
-    /// Merges all segments; claims of later segments win.
+    /// Drops the segments that do not exist any more.
+    pub fn retain(&mut self, exists: impl Fn(u64) -> bool) {
+        let before = self.sealed.len();
+        self.sealed.retain(|n, _| exists(*n));
+        self.is_stale |= self.sealed.len() < before;
+        if self.active.as_ref().is_some_and(|a| !exists(a.number)) {
+            self.drop_active();
+        }
+    }
+
+    /// Drops the active segment, which is not the one that readers look at.
+    pub fn drop_active(&mut self) {
+        self.active = None;
+        self.is_stale = true;
+    }
+
+    /// Merges all segments, if necessary; claims of later segments win.
     pub fn rebuild(&mut self) {
+        if !std::mem::take(&mut self.is_stale) {
+            return;
+        }
         self.claims.clear();
         let sealed = self.sealed.values().map(|s| &s.segment);
         for segment in sealed.chain(self.active.iter().map(|a| &a.segment)) {
--- a/crates/coriandercove_state/src/claim/load.rs
+++ b/crates/coriandercove_state/src/claim/load.rs
@@ -13,6 +13,7 @@
 
 use super::index::{Active, Sealed, View};
 use super::segment::Segment;
+use crate::fault::{self, Fault};
 use crate::store_call::Version;
 
 /// Next step of loading.
@@ -107,11 +108,8 @@
 
     fn forget_deleted(&mut self, view: &mut View, numbers: &[u64]) {
         let is_listed = |n: &u64| numbers.binary_search(n).is_ok();
-        view.sealed.retain(|n, _| is_listed(n));
+        view.retain(|n| is_listed(&n));
         self.stray.retain(|n, _| is_listed(n));
-        if view.active.as_ref().is_some_and(|a| !is_listed(&a.number)) {
-            view.active = None;
-        }
     }
 
     /// Takes in a segment that was read, or `None` if it does not exist any more.
@@ -119,14 +117,14 @@
         self.missing.retain(|n| *n != number);
         match found {
             None => {}
-            Some((version, segment)) if segment.sealed => {
+            Some((version, segment)) if segment.sealed && !fault::is_on(Fault::WriteToSealed) => {
                 view.set_sealed(number, Sealed { version, segment });
             }
             Some((version, _)) if number < self.highest => {
                 // Its successor exists, so the segment had been sealed and was deleted since.
                 self.stray.insert(number, version);
                 if view.active.as_ref().is_some_and(|a| a.number == number) {
-                    view.active = None;
+                    view.drop_active();
                 }
             }
             Some((version, segment)) => {
--- a/crates/coriandercove_state/src/claim/reply.rs
+++ b/crates/coriandercove_state/src/claim/reply.rs
@@ -73,7 +73,7 @@
             (Op::Create(_), reply) if reply != StoreReply::Unavailable => self.loader.on_create(),
             (Op::Seal(segment), reply) => self.on_seal(segment, &reply),
             (Op::Delete(number), StoreReply::Deleted | StoreReply::Absent) => {
-                self.view.sealed.remove(&number);
+                self.view.retain(|n| n != number);
                 self.view.rebuild();
             }
             (Op::DeleteStray(number), StoreReply::Deleted | StoreReply::Absent) => {
--- a/crates/coriandercove_state/src/claim/shard.rs
+++ b/crates/coriandercove_state/src/claim/shard.rs
@@ -15,6 +15,8 @@
 
 /// Room for the parts of a segment besides its claims, in bytes.
 const SEGMENT_OVERHEAD: usize = 64;
+/// Least time between two looks for old segments, which read all claims of a segment.
+const CLEAN_GAP: Duration = Duration::from_secs(1);
 
 data! {
     /// Settings of a [`Shard`].
@@ -122,6 +124,7 @@
     pub(super) queue: VecDeque<Waiting>,
     pub(super) refresh: Refresh,
     last_write: Option<Time>,
+    next_clean: Time,
     pub(super) retry_at: Time,
     pub(super) retry: Duration,
     pub(super) malformed: u64,
@@ -142,6 +145,7 @@
             queue: VecDeque::new(),
             refresh: Refresh::default(),
             last_write: None,
+            next_clean: Time::ZERO,
             retry_at: Time::ZERO,
             malformed: 0,
             conflicts: 0,
@@ -178,8 +182,8 @@
         if self.queue.len() >= self.settings.max_waiting {
             return vec![settled(tag, ChangeResult::Overloaded)];
         }
-        if now < self.retry_at && !self.loader.is_ready() && may_fail(&change) {
-            return vec![settled(tag, ChangeResult::Unavailable)];
+        if now < self.retry_at && may_fail(&change) {
+            return vec![settled(tag, self.without_store(&change))];
         }
         self.queue.push_back(Waiting {
             tag,
@@ -189,6 +193,15 @@
         self.advance(now)
     }
 
+    /// Result of a change while the store cannot be reached: memory may already decide it.
+    fn without_store(&self, change: &Change) -> ChangeResult {
+        match self.view.judge(change) {
+            Verdict::Refused(claim) => ChangeResult::Refused(claim),
+            Verdict::Applied => ChangeResult::Written,
+            Verdict::Write(_) => ChangeResult::Unavailable,
+        }
+    }
+
     /// Takes a change back. Returns whether it was certainly not written and never will be;
     /// otherwise the change stays and is settled later.
     pub fn withdraw(&mut self, tag: u128) -> bool {
@@ -217,7 +230,8 @@
     /// `wall_ms` is the wall clock in ms since 1970.
     pub fn tick(&mut self, now: Time, wall_ms: u64) -> Vec<ShardAction> {
         let mut actions = self.advance(now);
-        if self.op.is_none() && self.loader.is_ready() && self.queue.is_empty() {
+        if self.op.is_none() && self.loader.is_ready() && now >= self.next_clean {
+            self.next_clean = now + CLEAN_GAP;
             actions.extend(self.clean(wall_ms));
         }
         actions
--- a/crates/coriandercove_state/src/fault.rs
+++ b/crates/coriandercove_state/src/fault.rs
@@ -22,6 +22,8 @@
     FenceGateNotRead,
     /// A writer appends to a segment that it created without checking that it is the newest.
     CreateNotConfirmed,
+    /// A writer appends to a sealed segment.
+    WriteToSealed,
     /// The agent forgets a ticket that it refused.
     RefusalDoesNotBurn,
     /// The agent runs a ticket that is older than its memory.
--- a/crates/coriandercove_state/tests/claims/calls.rs
+++ b/crates/coriandercove_state/tests/claims/calls.rs
@@ -74,7 +74,7 @@
         let agent = 0..AGENTS;
         let any = 0..64_usize;
         prop_oneof![
-            call_weight => (entry.clone(), 0..4_u8, prop::bool::weighted(0.05))
+            call_weight => (entry.clone(), 0..7_u8, prop::bool::weighted(0.03))
                 .prop_map(|(entry, key, other_body)| Step::Call { entry, key, other_body }),
             30 => (1..6_usize).prop_map(Step::Flush),
             8 => any.clone().prop_map(Step::Deliver),
@@ -91,7 +91,7 @@
             3 => any.clone().prop_map(Step::ProbeTimeout),
             3 => any.clone().prop_map(Step::ForwardTimeout),
             2 => (entry.clone(), 0..8_u8).prop_map(|(e, live)| Step::Live(e, live)),
-            3 => (entry.clone(), 1..4_u8).prop_map(|(e, key)| Step::Query(e, key)),
+            3 => (entry.clone(), 1..7_u8).prop_map(|(e, key)| Step::Query(e, key)),
             12 => (agent.clone(), any.clone()).prop_map(|(a, i)| Step::RunCall(a, i)),
             10 => (agent.clone(), any, prop::bool::weighted(0.9))
                 .prop_map(|(agent, i, answered)| Step::EndCall { agent, i, answered }),
@@ -135,5 +135,16 @@
 /// answer to another key, and a caller without an answer.
 #[test]
 fn calls_run_at_most_once() {
-    runner::check::<Calls>("calls", 40, 400);
+    let reached = [
+        "effect",
+        "answer",
+        "replayed answer",
+        "store unavailable",
+        "not run",
+        "claim unsettled",
+        "unknown",
+        "in progress",
+        "key reused",
+    ];
+    runner::check::<Calls>("calls", 40, 400, &reached);
 }
--- a/crates/coriandercove_state/tests/claims/calls_world.rs
+++ b/crates/coriandercove_state/tests/claims/calls_world.rs
@@ -6,8 +6,8 @@
 use coriandercove_base::{NodeId, RequestId, TicketId, Time};
 use coriandercove_state::claim::{Change, ChangeResult, Segment};
 use coriandercove_state::once::{
-    Action, Event, ForwardId, KeyStatus, KeyedBy, OnceEntry, OnceRequest, OnceSettings, Outcome,
-    Refusal, TargetAgent,
+    Action, Doubt, Event, ForwardId, KeyStatus, KeyedBy, OnceEntry, OnceRequest, OnceSettings,
+    Outcome, Refusal, TargetAgent,
 };
 use coriandercove_state::store_call::{StoreCall, StoreReply};
 use coriandercove_state::ticket::{
@@ -15,7 +15,7 @@
 };
 
 use crate::calls::{AGENTS, ENTRIES, Step};
-use crate::runner::{rng, violation};
+use crate::runner::{rng, tally, violation};
 use crate::store::{StoreNet, duplicate, pick, remove};
 
 /// Wall clock at the start of a run, in ms.
@@ -542,6 +542,7 @@
     }
 
     fn effect(&mut self, req: RequestId) {
+        tally("effect");
         let request = self.requests.get_mut(&req).unwrap();
         request.effects += 1;
         if request.effects > 1 {
@@ -556,6 +557,7 @@
     }
 
     fn on_outcome(&mut self, req: RequestId, outcome: &Outcome) {
+        tally(name_of(outcome));
         let key = self.requests[&req].key;
         if let Outcome::Answer { answer, replayed } = outcome {
             let body = answer.body.as_deref().unwrap();
@@ -621,6 +623,19 @@
     }
 }
 
+fn name_of(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answer { replayed: true, .. } => "replayed answer",
+        Outcome::Answer { .. } => "answer",
+        Outcome::NotRun(Refusal::StoreUnavailable) => "store unavailable",
+        Outcome::NotRun(_) => "not run",
+        Outcome::Unknown(Doubt::ClaimUnsettled) => "claim unsettled",
+        Outcome::Unknown(_) => "unknown",
+        Outcome::InProgress => "in progress",
+        Outcome::KeyReused => "key reused",
+    }
+}
+
 fn agent_of(ticket: &Ticket) -> usize {
     (0..AGENTS)
         .find(|a| *agent_name(*a) == *ticket.node)
--- a/crates/coriandercove_state/tests/claims/faults.rs
+++ b/crates/coriandercove_state/tests/claims/faults.rs
@@ -71,3 +71,8 @@
 fn shards_find_unconfirmed_create() {
     assert_found::<Shards>(Fault::CreateNotConfirmed, 400);
 }
+
+#[test]
+fn shards_find_writes_to_sealed_segments() {
+    assert_found::<Shards>(Fault::WriteToSealed, 400);
+}
--- a/crates/coriandercove_state/tests/claims/leases.rs
+++ b/crates/coriandercove_state/tests/claims/leases.rs
@@ -9,7 +9,7 @@
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
-use crate::runner::{self, rng, violation};
+use crate::runner::{self, rng, tally, violation};
 use crate::store::{StoreNet, duplicate, pick, remove};
 
 const NODES: usize = 3;
@@ -150,6 +150,7 @@
                     self.store.send((at, node.run, node.calls), call);
                 }
                 LeaseAction::Acquired(fence) => {
+                    tally("acquired");
                     node.fence = Some(fence);
                     let run = node.run;
                     let other = |a: &&(Fence, usize, u32)| a.0 == fence && (a.1, a.2) != (at, run);
@@ -158,7 +159,10 @@
                     }
                     self.acquired.push((fence, at, run));
                 }
-                LeaseAction::Lost => node.fence = None,
+                LeaseAction::Lost => {
+                    tally("lost");
+                    node.fence = None;
+                }
                 LeaseAction::Malformed => violation("the lease object is malformed"),
             }
         }
@@ -189,7 +193,10 @@
             if agent.applied.last().is_some_and(|last| *last > fence) {
                 violation("an order of an earlier holder took effect after a later one's");
             }
+            tally("order");
             agent.applied.push(fence);
+        } else {
+            tally("refused order");
         }
     }
 
@@ -316,5 +323,6 @@
 /// against a lease that nobody can take.
 #[test]
 fn late_holders_are_fenced() {
-    runner::check::<Leases>("leases", 40, 300);
+    let reached = ["acquired", "lost", "order", "refused order"];
+    runner::check::<Leases>("leases", 40, 300, &reached);
 }
--- a/crates/coriandercove_state/tests/claims/runner.rs
+++ b/crates/coriandercove_state/tests/claims/runner.rs
@@ -1,6 +1,7 @@
 //! Runs a state machine test from fixed or fresh seeds.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::hash::{BuildHasher, RandomState};
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 
@@ -18,6 +19,7 @@
 const CASES_PER_SEED: u32 = 64;
 
 thread_local! {
+    static TALLY: RefCell<BTreeMap<&'static str, u64>> = const { RefCell::new(BTreeMap::new()) };
     static STEPS: Cell<u64> = const { Cell::new(0) };
     static VIOLATION: Cell<bool> = const { Cell::new(false) };
 }
@@ -27,6 +29,11 @@
     STEPS.set(STEPS.get() + 1);
 }
 
+/// Counts something that happened, to show what the cases reach.
+pub fn tally(what: &'static str) {
+    TALLY.with_borrow_mut(|tally| *tally.entry(what).or_default() += 1);
+}
+
 /// Fails the current case because the oracle found a violation. Unwinds without the panic
 /// hook, because shrinking fails many times.
 pub fn violation(what: &str) -> ! {
@@ -82,8 +89,8 @@
 }
 
 /// Runs the test from `seeds` fixed seeds, or as the environment says, and fails with a
-/// shrunk sequence of steps.
-pub fn check<T: StateMachineTest>(name: &str, seeds: u64, steps: usize) {
+/// shrunk sequence of steps. Everything in `reached` must have been tallied.
+pub fn check<T: StateMachineTest>(name: &str, seeds: u64, steps: usize, reached: &[&str]) {
     fault::set(None);
     let number = |name| std::env::var(name).ok().and_then(|v| v.parse::<u64>().ok());
     let (first, count) = match (number(CASES), number(SEED)) {
@@ -102,7 +109,13 @@
             panic!("{name}: {message}");
         }
     }
-    println!("{name}: {} steps", STEPS.get());
+    let tally = TALLY.with_borrow(Clone::clone);
+    println!("{name}: {} steps, {tally:?}", STEPS.get());
+    let missed: Vec<_> = reached
+        .iter()
+        .filter(|r| !tally.contains_key(**r))
+        .collect();
+    assert!(missed.is_empty(), "{name}: never reached {missed:?}");
 }
 
 /// Steps until the test finds a violation with `fault` switched on.
--- a/crates/coriandercove_state/tests/claims/shards.rs
+++ b/crates/coriandercove_state/tests/claims/shards.rs
@@ -12,7 +12,7 @@
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
-use crate::runner::{self, rng, violation};
+use crate::runner::{self, rng, tally, violation};
 use crate::store::{CallId, StoreNet, duplicate, pick, remove};
 
 const WRITERS: usize = 3;
@@ -70,6 +70,8 @@
     known: BTreeMap<u128, Known>,
     /// Tickets whose answer was reported as recorded.
     recorded: BTreeSet<u128>,
+    /// Names of all segments that were created.
+    created: BTreeSet<String>,
 }
 
 fn new_writer(writer: usize, run: u32) -> Writer {
@@ -189,11 +191,13 @@
             return;
         }
         if tag >> 64 > 0 {
+            tally("record");
             self.recorded.insert(tag >> 64);
             return;
         }
         let known = self.known.get_mut(&tag).unwrap();
         known.confirmed = true;
+        tally("claim");
         let Some(stored) = known.stored_ms else {
             violation("a claim was reported as written that is not in the store");
         };
@@ -224,12 +228,26 @@
             return;
         };
         let wall = self.wall();
-        if let Some((StoreCall::PutIf { value, .. }, StoreReply::Written(_))) = self.store.arrive(i)
-        {
-            for claim in Segment::decode(&value).unwrap().claims {
-                let known = self.known.get_mut(&claim.ticket.id).unwrap();
-                known.stored_ms.get_or_insert(wall);
+        match self.store.arrive(i) {
+            Some((StoreCall::Create { name, .. }, StoreReply::Written(_))) => {
+                tally("create");
+                if !self.created.insert(name) {
+                    // A delayed request created a segment that had been deleted.
+                    tally("stray");
+                }
+            }
+            Some((StoreCall::DeleteIf { .. }, StoreReply::Deleted)) => tally("delete"),
+            Some((StoreCall::PutIf { value, .. }, StoreReply::Written(_))) => {
+                let segment = Segment::decode(&value).unwrap();
+                if segment.sealed {
+                    tally("seal");
+                }
+                for claim in segment.claims {
+                    let known = self.known.get_mut(&claim.ticket.id).unwrap();
+                    known.stored_ms.get_or_insert(wall);
+                }
             }
+            _ => {}
         }
     }
 
@@ -333,6 +351,7 @@
             store: StoreNet::default(),
             known: BTreeMap::new(),
             recorded: BTreeSet::new(),
+            created: BTreeSet::new(),
         }
     }
 
@@ -351,5 +370,6 @@
 /// back while segments are sealed, deleted and created by late writers.
 #[test]
 fn shards_keep_claims() {
-    runner::check::<Shards>("shards", 40, 400);
+    let reached = ["claim", "record", "create", "seal", "delete", "stray"];
+    runner::check::<Shards>("shards", 40, 400, &reached);
 }
