--- a/crates/coriandercove_state/tests/claims/calls.rs
+++ b/crates/coriandercove_state/tests/claims/calls.rs
@@ -12,12 +12,8 @@
 /// One step. Numbers choose among what is possible, modulo its count.
 #[derive(Debug, Clone, Copy)]
 pub enum Step {
-    /// A caller sends a call. Key 0 stands for a call without a key.
-    Call {
-        entry: usize,
-        key: u8,
-        other_body: bool,
-    },
+    /// A caller sends a call to an entry, with a key or 0 for none, and maybe another body.
+    Call(usize, u8, bool),
     /// The oldest messages arrive in order.
     Flush(usize),
     /// One message arrives before older ones.
@@ -41,11 +37,7 @@
     /// An agent passes an accepted call to its service, which takes effect.
     RunCall(usize, usize),
     /// A service answers, or closes the connection without an answer.
-    EndCall {
-        agent: usize,
-        i: usize,
-        answered: bool,
-    },
+    EndCall(usize, usize, bool),
     AgentRefuses(usize, bool),
     RestartEntry(usize),
     RestartAgent(usize),
@@ -75,7 +67,7 @@
         let any = 0..64_usize;
         prop_oneof![
             call_weight => (entry.clone(), 0..7_u8, prop::bool::weighted(0.03))
-                .prop_map(|(entry, key, other_body)| Step::Call { entry, key, other_body }),
+                .prop_map(|(e, key, other)| Step::Call(e, key, other)),
             30 => (1..6_usize).prop_map(Step::Flush),
             8 => any.clone().prop_map(Step::Deliver),
             8 => any.clone().prop_map(Step::Duplicate),
@@ -94,7 +86,7 @@
             3 => (entry.clone(), 1..7_u8).prop_map(|(e, key)| Step::Query(e, key)),
             12 => (agent.clone(), any.clone()).prop_map(|(a, i)| Step::RunCall(a, i)),
             10 => (agent.clone(), any, prop::bool::weighted(0.9))
-                .prop_map(|(agent, i, answered)| Step::EndCall { agent, i, answered }),
+                .prop_map(|(a, i, answered)| Step::EndCall(a, i, answered)),
             4 => (agent.clone(), prop::bool::weighted(0.4)).prop_map(|(a, on)| Step::AgentRefuses(a, on)),
             2 => entry.clone().prop_map(Step::RestartEntry),
             2 => agent.clone().prop_map(Step::RestartAgent),
@@ -107,7 +99,7 @@
     }
 
     fn apply(calls: usize, step: &Step) -> usize {
-        calls + usize::from(matches!(step, Step::Call { .. }))
+        calls + usize::from(matches!(step, Step::Call(..)))
     }
 }
 
--- /dev/null
+++ b/crates/coriandercove_state/tests/claims/calls_nodes.rs
@@ -0,0 +1,76 @@
+//! Entries and agents of the fuzz test of once-calls.
+
+use std::time::Duration;
+
+use coriandercove_base::{NodeId, RequestId, TicketId};
+use coriandercove_state::once::{OnceEntry, OnceSettings};
+use coriandercove_state::ticket::{Ticket, TicketLimits, TicketTable};
+
+use crate::calls::AGENTS;
+use crate::oracle::Run;
+use crate::runner::rng;
+
+pub struct Entry {
+    pub run: u32,
+    pub once: OnceEntry,
+    pub paused: bool,
+    pub cut: [bool; AGENTS + 1],
+}
+
+pub struct Agent {
+    pub incarnation: u64,
+    /// The incarnation that entries know, which lags behind.
+    pub known: u64,
+    pub table: TicketTable,
+    pub queue: Vec<(Run, RequestId, TicketId)>,
+    pub running: Vec<(Run, RequestId, TicketId)>,
+    pub paused: bool,
+    pub refuses: bool,
+}
+
+pub fn agent_name(agent: usize) -> NodeId {
+    format!("agent{agent}").into()
+}
+
+pub fn entry_name(entry: usize) -> NodeId {
+    format!("entry{entry}").into()
+}
+
+pub fn new_entry(entry: usize, run: u32) -> Entry {
+    // One shard lets all keys share writes; small segments let them be sealed.
+    let settings = OnceSettings {
+        shards: 1,
+        segment_bytes: 700,
+        linger: Duration::from_secs(3),
+        ..OnceSettings::default()
+    };
+    Entry {
+        run,
+        once: OnceEntry::new(settings, rng(entry as u64 * 1000 + u64::from(run))),
+        paused: false,
+        cut: [false; AGENTS + 1],
+    }
+}
+
+pub fn new_agent(agent: usize, incarnation: u64, known: u64) -> Agent {
+    // Few tickets are remembered, so that eviction takes part.
+    let limits = TicketLimits {
+        tickets: 4,
+        ..TicketLimits::default()
+    };
+    Agent {
+        incarnation,
+        known,
+        table: TicketTable::new(agent_name(agent), incarnation, limits),
+        queue: Vec::new(),
+        running: Vec::new(),
+        paused: false,
+        refuses: false,
+    }
+}
+
+pub fn agent_of(ticket: &Ticket) -> usize {
+    (0..AGENTS)
+        .find(|a| *agent_name(*a) == *ticket.node)
+        .unwrap()
+}
--- a/crates/coriandercove_state/tests/claims/calls_world.rs
+++ b/crates/coriandercove_state/tests/claims/calls_world.rs
@@ -1,30 +1,23 @@
 //! Entries, agents and the network between them, with the oracle of effects.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use coriandercove_base::{NodeId, RequestId, TicketId, Time};
-use coriandercove_state::claim::{Change, ChangeResult, Segment};
-use coriandercove_state::once::{
-    Action, Doubt, Event, ForwardId, KeyStatus, KeyedBy, OnceEntry, OnceRequest, OnceSettings,
-    Outcome, Refusal, TargetAgent,
-};
+use coriandercove_base::{RequestId, TicketId, Time};
+use coriandercove_state::claim::{Change, ChangeResult};
+use coriandercove_state::once::{Action, Event, ForwardId, KeyedBy, OnceRequest, TargetAgent};
 use coriandercove_state::store_call::{StoreCall, StoreReply};
-use coriandercove_state::ticket::{
-    Accept, Answer, NotRunReason, Ticket, TicketLimits, TicketReply, TicketTable,
-};
+use coriandercove_state::ticket::{Accept, NotRunReason, Ticket, TicketReply};
 
 use crate::calls::{AGENTS, ENTRIES, Step};
-use crate::runner::{rng, tally, violation};
+use crate::calls_nodes::{Agent, Entry, agent_name, agent_of, entry_name, new_agent, new_entry};
+use crate::oracle::{Oracle, Run, answer_to};
+use crate::runner::violation;
 use crate::store::{StoreNet, duplicate, pick, remove};
 
 /// Wall clock at the start of a run, in ms.
 const WALL: u64 = 1_000_000_000;
 const CALL_TIME: Duration = Duration::from_millis(1500);
 
-/// A run of an entry: its place and how often it was restarted.
-type Run = (usize, u32);
-
 #[derive(Debug, Clone)]
 enum Msg {
     Dispatch(Run, RequestId, Ticket, Duration),
@@ -35,91 +28,16 @@
     Forwarded(Run, ForwardId, ChangeResult),
 }
 
-struct Entry {
-    run: u32,
-    once: OnceEntry,
-    paused: bool,
-    cut: [bool; AGENTS + 1],
-}
-
-struct Agent {
-    incarnation: u64,
-    /// The incarnation that entries know, which lags behind.
-    known: u64,
-    table: TicketTable,
-    queue: Vec<(Run, RequestId, TicketId)>,
-    running: Vec<(Run, RequestId, TicketId)>,
-    paused: bool,
-    refuses: bool,
-}
-
-/// What the oracle knows of a request.
-struct Request {
-    run: Run,
-    key: u8,
-    effects: u32,
-    replied: bool,
-    /// The caller was told that the request did not run.
-    refused: bool,
-    /// The caller was told that there is no claim of the request.
-    unclaimed: bool,
-}
-
 pub struct World {
     now: Time,
     entries: Vec<Entry>,
     agents: Vec<Agent>,
     net: Vec<Msg>,
     store: StoreNet,
-    requests: BTreeMap<RequestId, Request>,
-    claimed: BTreeSet<RequestId>,
-    key_effects: BTreeMap<u8, RequestId>,
+    oracle: Oracle,
     dispatched: Vec<(Run, RequestId, Ticket)>,
     probes: Vec<(Run, RequestId, TicketId)>,
     forwards: Vec<(Run, ForwardId)>,
-    /// Queries under way: the key and whether it had taken effect before.
-    queries: BTreeMap<RequestId, (u8, bool)>,
-}
-
-fn agent_name(agent: usize) -> NodeId {
-    format!("agent{agent}").into()
-}
-
-fn entry_name(entry: usize) -> NodeId {
-    format!("entry{entry}").into()
-}
-
-fn new_entry(entry: usize, run: u32) -> Entry {
-    // One shard lets all keys share writes; small segments let them be sealed.
-    let settings = OnceSettings {
-        shards: 1,
-        segment_bytes: 700,
-        linger: Duration::from_secs(3),
-        ..OnceSettings::default()
-    };
-    Entry {
-        run,
-        once: OnceEntry::new(settings, rng(entry as u64 * 1000 + u64::from(run))),
-        paused: false,
-        cut: [false; AGENTS + 1],
-    }
-}
-
-fn new_agent(agent: usize, incarnation: u64, known: u64) -> Agent {
-    // Few tickets are remembered, so that eviction takes part.
-    let limits = TicketLimits {
-        tickets: 4,
-        ..TicketLimits::default()
-    };
-    Agent {
-        incarnation,
-        known,
-        table: TicketTable::new(agent_name(agent), incarnation, limits),
-        queue: Vec::new(),
-        running: Vec::new(),
-        paused: false,
-        refuses: false,
-    }
 }
 
 impl World {
@@ -130,13 +48,10 @@
             agents: (0..AGENTS).map(|a| new_agent(a, 1, 1)).collect(),
             net: Vec::new(),
             store: StoreNet::default(),
-            requests: BTreeMap::new(),
-            claimed: BTreeSet::new(),
-            key_effects: BTreeMap::new(),
+            oracle: Oracle::default(),
             dispatched: Vec::new(),
             probes: Vec::new(),
             forwards: Vec::new(),
-            queries: BTreeMap::new(),
         }
     }
 
@@ -151,11 +66,7 @@
 
     pub fn step(&mut self, step: Step) {
         match step {
-            Step::Call {
-                entry,
-                key,
-                other_body,
-            } => self.call(entry, key, other_body),
+            Step::Call(entry, key, other_body) => self.call(entry, key, other_body),
             Step::Flush(n) => self.flush(n),
             Step::Deliver(i) => {
                 if let Some(i) = pick(i, self.net.len()) {
@@ -194,7 +105,7 @@
             Step::Live(..) => {}
             Step::Query(entry, key) => self.query(entry, key),
             Step::RunCall(agent, i) => self.run_call(agent, i),
-            Step::EndCall { agent, i, answered } => self.end_call(agent, i, answered),
+            Step::EndCall(agent, i, answered) => self.end_call(agent, i, answered),
             Step::AgentRefuses(agent, on) => self.agents[agent].refuses = on,
             Step::RestartEntry(entry) => {
                 self.store.forget_node(entry);
@@ -215,17 +126,7 @@
         if self.entries[entry].paused {
             return;
         }
-        let req = self.requests.len() as RequestId + 1;
-        let run = (entry, self.entries[entry].run);
-        let request = Request {
-            run,
-            key,
-            effects: 0,
-            replied: false,
-            refused: false,
-            unclaimed: false,
-        };
-        self.requests.insert(req, request);
+        let req = self.oracle.request((entry, self.entries[entry].run), key);
         let by = KeyedBy {
             key: key.into(),
             fingerprint: u128::from(key) * 2 + u128::from(other_body),
@@ -267,8 +168,8 @@
                 self.probes.push((run, req, ticket.id));
                 self.net.push(Msg::Probe(run, req, ticket));
             }
-            Action::Reply { req, outcome } => self.on_outcome(req, &outcome),
-            Action::Status { req, status } => self.on_status(req, &status),
+            Action::Reply { req, outcome } => self.oracle.on_outcome(req, &outcome),
+            Action::Status { req, status } => self.oracle.on_status(req, &status),
             Action::Forward { to, id, change, .. } => {
                 let to = (0..ENTRIES).find(|e| entry_name(*e) == to).unwrap();
                 self.forwards.push((run, id));
@@ -286,28 +187,11 @@
         if self.entries[entry].paused {
             return;
         }
-        let req = u128::MAX - self.queries.len() as u128;
-        let has_effect = self.key_effects.contains_key(&key);
-        self.queries.insert(req, (key, has_effect));
+        let req = self.oracle.query(key);
         let (service, key) = ("kiln".into(), key.into());
         self.event(entry, Event::Query { req, service, key });
     }
 
-    fn on_status(&mut self, req: RequestId, status: &KeyStatus) {
-        let (key, has_effect) = self.queries[&req];
-        match status {
-            KeyStatus::NotFound if has_effect => violation("a key with an effect was not found"),
-            KeyStatus::Done(answer) => {
-                let body = answer.body.as_deref().unwrap();
-                let origin = u128::from_le_bytes(body.try_into().unwrap());
-                if self.key_effects.get(&key) != Some(&origin) {
-                    violation("the state of a key is the answer of another call");
-                }
-            }
-            _ => {}
-        }
-    }
-
     fn forward_timeout(&mut self, i: usize) {
         let Some(i) = pick(i, self.forwards.len()) else {
             return;
@@ -432,13 +316,7 @@
         }
         if let Some((StoreCall::PutIf { value, .. }, StoreReply::Written(_))) = self.store.arrive(i)
         {
-            let segment = Segment::decode(&value).unwrap();
-            self.claimed.extend(segment.claims.iter().map(|c| c.req));
-            for claim in &segment.claims {
-                if self.requests[&claim.req].unclaimed {
-                    violation("claim written of a request refused as store_unavailable");
-                }
-            }
+            self.oracle.on_segment(&value);
         }
     }
 
@@ -482,7 +360,7 @@
         let copies = |m: &&Msg| matches!(m, Msg::Dispatch(_, _, t, _) if t.id == id);
         let is_first = self.net.iter().filter(copies).count() == 1
             && self.agents.iter().all(|a| a.table.state(id).is_none())
-            && self.requests[&req].effects == 0;
+            && !self.oracle.has_effect(req);
         let (Some(at), true) = (at, is_first && !self.entries[run.0].paused) else {
             return;
         };
@@ -521,7 +399,7 @@
         match agent.table.start(now, ticket) {
             Ok(()) => {
                 agent.running.push((run, req, ticket));
-                self.effect(req);
+                self.oracle.on_effect(req);
             }
             Err(reply) => self.net.push(Msg::Reply(run, at, req, ticket, reply)),
         }
@@ -533,54 +411,11 @@
             return;
         };
         let (run, req, ticket) = agent.running.remove(i);
-        let answer = answered.then(|| Answer {
-            status: 200,
-            body: Some(req.to_le_bytes().as_slice().into()),
-        });
+        let answer = answered.then(|| answer_to(req));
         let reply = agent.table.finish(ticket, answer);
         self.net.push(Msg::Reply(run, at, req, ticket, reply));
     }
 
-    fn effect(&mut self, req: RequestId) {
-        tally("effect");
-        let request = self.requests.get_mut(&req).unwrap();
-        request.effects += 1;
-        if request.effects > 1 {
-            violation("a request took effect twice");
-        }
-        if request.refused {
-            violation("a refused request took effect");
-        }
-        if request.key > 0 && self.key_effects.insert(request.key, req).is_some() {
-            violation("a key took effect twice");
-        }
-    }
-
-    fn on_outcome(&mut self, req: RequestId, outcome: &Outcome) {
-        tally(name_of(outcome));
-        let key = self.requests[&req].key;
-        if let Outcome::Answer { answer, replayed } = outcome {
-            let body = answer.body.as_deref().unwrap();
-            let origin = &self.requests[&u128::from_le_bytes(body.try_into().unwrap())];
-            if origin.effects != 1 || origin.key != key || (!replayed && body != req.to_le_bytes())
-            {
-                violation("the answer belongs to another call");
-            }
-        }
-        let request = self.requests.get_mut(&req).unwrap();
-        if std::mem::replace(&mut request.replied, true) {
-            violation("a caller was answered twice");
-        }
-        request.refused = matches!(outcome, Outcome::NotRun(_) | Outcome::KeyReused);
-        request.unclaimed = *outcome == Outcome::NotRun(Refusal::StoreUnavailable);
-        if request.refused && request.effects > 0 {
-            violation("a request that took effect was refused");
-        }
-        if request.unclaimed && self.claimed.contains(&req) {
-            violation("a request with a claim was refused as store_unavailable");
-        }
-    }
-
     /// Ends all failures.
     pub fn heal(&mut self) {
         self.store.down = false;
@@ -612,32 +447,9 @@
             }
             self.advance(100);
         }
-        let runs: Vec<_> = self.entries.iter().map(|e| e.run).collect();
-        let waits = |r: &&Request| !r.replied && runs[r.run.0] == r.run.1;
-        if self.requests.values().any(|r| waits(&r)) {
-            violation("a caller was not answered");
-        }
+        self.oracle.at_rest(|run| self.is_current(run));
         if self.entries.iter().any(|e| e.once.calls() > 0) {
             violation("an entry keeps an ended call");
         }
     }
 }
-
-fn name_of(outcome: &Outcome) -> &'static str {
-    match outcome {
-        Outcome::Answer { replayed: true, .. } => "replayed answer",
-        Outcome::Answer { .. } => "answer",
-        Outcome::NotRun(Refusal::StoreUnavailable) => "store unavailable",
-        Outcome::NotRun(_) => "not run",
-        Outcome::Unknown(Doubt::ClaimUnsettled) => "claim unsettled",
-        Outcome::Unknown(_) => "unknown",
-        Outcome::InProgress => "in progress",
-        Outcome::KeyReused => "key reused",
-    }
-}
-
-fn agent_of(ticket: &Ticket) -> usize {
-    (0..AGENTS)
-        .find(|a| *agent_name(*a) == *ticket.node)
-        .unwrap()
-}
--- a/crates/coriandercove_state/tests/claims/main.rs
+++ b/crates/coriandercove_state/tests/claims/main.rs
@@ -3,6 +3,8 @@
 #[cfg(test)]
 mod calls;
 #[cfg(test)]
+mod calls_nodes;
+#[cfg(test)]
 mod calls_world;
 #[cfg(test)]
 mod faults;
@@ -11,6 +13,8 @@
 #[cfg(test)]
 mod leases;
 #[cfg(test)]
+mod oracle;
+#[cfg(test)]
 mod regressions;
 #[cfg(test)]
 mod runner;
--- a/crates/coriandercove_state/tests/claims/regressions.rs
+++ b/crates/coriandercove_state/tests/claims/regressions.rs
@@ -20,11 +20,7 @@
 #[test]
 fn refused_copy_of_a_write_is_no_proof() {
     replay(&[
-        Step::Call {
-            entry: 0,
-            key: 1,
-            other_body: false,
-        },
+        Step::Call(0, 1, false),
         Step::Flush(5),
         Step::StoreDuplicate(0),
         Step::StoreDuplicate(0),
