--- a/crates/coriandercove_state/src/membership/detector.rs
+++ b/crates/coriandercove_state/src/membership/detector.rs
@@ -225,6 +225,7 @@
         let mut due = Vec::new();
         for (key, member) in &self.table.members {
             let after = match member.record.liveness {
+                _ if member.record.incarnation == 0 => self.cfg.forget_dead,
                 Liveness::Dead => self.cfg.forget_dead,
                 Liveness::Unreachable => self.cfg.forget_unreachable,
                 _ => continue,
@@ -248,6 +249,9 @@
         };
         let record = member.record;
         self.observers_old = true;
+        if record.incarnation == 0 {
+            return;
+        }
         let forgotten = Forgotten {
             incarnation: record.incarnation,
             beat: record.beat,
--- a/crates/coriandercove_state/src/membership/entry.rs
+++ b/crates/coriandercove_state/src/membership/entry.rs
@@ -128,14 +128,15 @@
     #[must_use]
     pub fn table(&self) -> Vec<MemberRecord> {
         self.records()
-            .filter(|r| r.liveness != Liveness::Dead && r.incarnation > 0)
+            .filter(|r| r.liveness != Liveness::Dead)
             .cloned()
             .collect()
     }
 
-    /// All records, dead members included.
+    /// All records, dead members included. Members that only the VM list names have none.
     pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
-        self.table.members.values().map(|m| &m.record)
+        let records = self.table.members.values().map(|m| &m.record);
+        records.filter(|r| r.incarnation > 0)
     }
 
     /// State of a member as the router should see it.
@@ -144,10 +145,12 @@
         self.record(node).map(MemberRecord::state)
     }
 
-    /// Record of a member.
+    /// Record of a member, if some entry has heard it. Members that only the VM list names have
+    /// none.
     #[must_use]
     pub fn record(&self, node: &str) -> Option<&MemberRecord> {
-        self.table.get(member_key(node)).map(|m| &m.record)
+        let record = &self.table.get(member_key(node))?.record;
+        (record.incarnation > 0).then_some(record)
     }
 
     /// Last known load of a member.
--- a/crates/coriandercove_state/src/placement.rs
+++ b/crates/coriandercove_state/src/placement.rs
@@ -39,6 +39,9 @@
 pub struct Placement {
     cfg: PlacementSettings,
     fence: Option<Fence>,
+    /// Time of taking over.
+    since: Time,
+    seq: u64,
     desired: Vec<DesiredRange>,
     /// Kept in a hash map, because there are thousands at the planned size.
     targets: HashMap<TargetId, Target>,
@@ -59,6 +62,8 @@
         Self {
             cfg,
             fence: None,
+            since: Time::ZERO,
+            seq: 0,
             desired: Vec::new(),
             targets: HashMap::new(),
             next_load: Time::ZERO,
@@ -109,6 +114,8 @@
         self.stand_down();
         self.fence = Some(fence);
         self.next_load = now;
+        self.since = now;
+        self.seq = 0;
         self.tick(now);
     }
 
@@ -181,22 +188,23 @@
     fn confirm_targets(&mut self, now: Time, fence: Fence) {
         let skip = self.faults.has(PlacementFault::ConfirmSkipped);
         let timeout = self.cfg.confirm_timeout;
+        let mut due: Vec<TargetId> = Vec::new();
         for (name, target) in &mut self.targets {
             target.confirmed |= skip;
-            let due = target.asked_at.is_none_or(|at| at + timeout <= now);
-            if !target.confirmed && target.view.available && due {
+            let late = target.asked_at.is_none_or(|at| at + timeout <= now);
+            if !target.confirmed && target.view.available && late {
                 target.asked_at = Some(now);
-                self.out.push(PlacementAction::Order {
-                    target: name.clone(),
-                    fence,
-                    order: PlacementOrder::Confirm,
-                });
+                due.push(name.clone());
             }
         }
-        self.out.sort_by(|a, b| a.target().cmp(&b.target()));
+        due.sort();
+        for target in due {
+            self.give(target, fence, PlacementOrder::Confirm);
+        }
     }
 
-    /// Gives orders again whose effect does not show. Repeating one changes nothing.
+    /// Gives orders again whose effect does not show, if they are still allowed. Repeating one
+    /// that took effect changes nothing.
     fn repeat_orders(&mut self, now: Time, fence: Fence) {
         let mut due: Vec<TargetId> = Vec::new();
         for (name, target) in &mut self.targets {
@@ -209,24 +217,27 @@
         }
         due.sort();
         for target in due {
-            if let Some((order, _)) = &self.targets[&target].pending {
-                let order = order.clone();
-                self.out.push(PlacementAction::Order {
-                    target,
-                    fence,
-                    order,
-                });
+            let known = &self.targets[&target];
+            let Some((order, _)) = known.pending.clone() else {
+                continue;
+            };
+            let replaces = matches!(order, PlacementOrder::Load(_) | PlacementOrder::Unload);
+            if !replaces || self.may_take(&self.desired, known) {
+                self.give(target, fence, order);
             }
         }
     }
-}
 
-impl PlacementAction {
-    fn target(&self) -> Option<&TargetId> {
-        match self {
-            Self::Order { target, .. } => Some(target),
-            Self::Blocked { .. } => None,
-        }
+    fn give(&mut self, target: TargetId, fence: Fence, order: PlacementOrder) {
+        self.seq += 1;
+        let incarnation = self.targets.get(&target).map_or(0, |t| t.view.incarnation);
+        self.out.push(PlacementAction::Order {
+            target,
+            incarnation,
+            fence,
+            seq: self.seq,
+            order,
+        });
     }
 }
 
--- a/crates/coriandercove_state/src/placement/plan.rs
+++ b/crates/coriandercove_state/src/placement/plan.rs
@@ -41,7 +41,7 @@
         let loading = self
             .available()
             .any(|t| t.loads().is_some_and(|a| a.range == *id));
-        if loading && !self.faults.has(PlacementFault::LoadsTogether) {
+        if (loading || self.is_confirming(now)) && !self.faults.has(PlacementFault::LoadsTogether) {
             return;
         }
         let Some(target) = self.candidate(now, all, range, have) else {
@@ -62,6 +62,11 @@
         self.order(now, fence, target, order);
     }
 
+    /// Whether a target that has not confirmed may be loading by an order of an earlier holder.
+    fn is_confirming(&self, now: Time) -> bool {
+        now < self.since + self.cfg.confirm_grace && self.available().any(|t| !t.confirmed)
+    }
+
     fn available(&self) -> impl Iterator<Item = &Target> {
         self.targets.values().filter(|t| t.view.available)
     }
@@ -155,11 +160,12 @@
 
     /// Whether the target may lose what it holds: another target serves the same, or nothing
     /// needs it any more. An old version is needed until all ranges of the new one are served.
-    fn may_take(&self, all: &[DesiredRange], target: &Target) -> bool {
+    pub(super) fn may_take(&self, all: &[DesiredRange], target: &Target) -> bool {
         let Some(held) = &target.view.holds else {
             return true;
         };
-        if self.faults.has(PlacementFault::LastReplicaTaken) || self.replicas(held) > 1 {
+        let others = self.replicas(held) - usize::from(target.serves(held));
+        if self.faults.has(PlacementFault::LastReplicaTaken) || others > 0 {
             return true;
         }
         let wanted = all.iter().any(|d| d.assignment == *held);
@@ -237,11 +243,7 @@
         if let Some(known) = self.targets.get_mut(&target) {
             known.pending = Some((order.clone(), now));
         }
-        self.out.push(PlacementAction::Order {
-            target,
-            fence,
-            order,
-        });
+        self.give(target, fence, order);
     }
 
     /// Reports a range that cannot get its replicas, once until that changes.
--- a/crates/coriandercove_state/src/placement/types.rs
+++ b/crates/coriandercove_state/src/placement/types.rs
@@ -139,8 +139,14 @@
     Order {
         /// The target.
         target: TargetId,
+        /// Run of the target's agent that the order is meant for; a later run refuses it.
+        incarnation: Incarnation,
         /// Fencing number of this holder.
         fence: Fence,
+        /// Rises with each order of this holder, repeated ones included. A target refuses an
+        /// order whose fence and number are not above the highest pair it has seen, so a delayed
+        /// copy cannot undo a later order.
+        seq: u64,
         /// What to do.
         order: PlacementOrder,
     },
@@ -162,6 +168,9 @@
     pub order_timeout: Duration,
     /// Time after which an unanswered [`PlacementOrder::Confirm`] is repeated.
     pub confirm_timeout: Duration,
+    /// Time after taking over in which loads wait until all available targets have confirmed,
+    /// because one of them may be loading already.
+    pub confirm_grace: Duration,
     /// Time for which a target that failed an order gets none.
     pub failure_pause: Duration,
     /// Time for which a load imbalance must last before a target moves.
@@ -178,6 +187,7 @@
             weight_bytes_per_s: 1 << 30,
             order_timeout: Duration::from_secs(30),
             confirm_timeout: Duration::from_secs(3),
+            confirm_grace: Duration::from_secs(10),
             failure_pause: Duration::from_secs(30),
             rebalance_after: Duration::from_secs(60),
             high_load: 80,
