Let membership converge at entries that leave or see other observers

Digests go to leaving entries too, members that only the VM list names no longer shift the choice of observers, and an entry that misses heartbeats calls for them.

--- a/crates/coriandercove_state/src/membership/detector.rs
+++ b/crates/coriandercove_state/src/membership/detector.rs
@@ -112,6 +112,8 @@
             }
             self.heat(key, false);
             self.show(key);
+            // It may live and send its heartbeats elsewhere, by another view of the entries.
+            self.call(key);
         }
     }
 
--- a/crates/coriandercove_state/src/membership/entry.rs
+++ b/crates/coriandercove_state/src/membership/entry.rs
@@ -37,6 +37,9 @@
     /// Zones that count as partitioned, and since when.
     pub(super) silent_zones: SortedMap<ZoneId, Time>,
     pub(super) vm_leaving: BTreeSet<MemberKey>,
+    /// Entries that missed heartbeats of this one and called for them, and until when they get
+    /// them.
+    pub(super) callers: BTreeMap<SocketAddr, Time>,
     pub(super) info_rounds: u32,
     pub(super) budget: Budget,
     pub(super) rng: Rng,
@@ -79,6 +82,7 @@
             missing: BTreeMap::new(),
             silent_zones: SortedMap::new(),
             vm_leaving: BTreeSet::new(),
+            callers: BTreeMap::new(),
             info_rounds: INFO_ROUNDS,
             budget: Budget::new(cfg.budget),
             rng: seeded(seed),
--- a/crates/coriandercove_state/src/membership/gossip.rs
+++ b/crates/coriandercove_state/src/membership/gossip.rs
@@ -39,7 +39,7 @@
     /// Different entries chosen at random, this one excluded.
     fn random_entries(&mut self, n: usize) -> Vec<MemberKey> {
         let me = self.me;
-        let mut keys: Vec<MemberKey> = self.observers.entries.iter().map(|(k, _)| *k).collect();
+        let mut keys = self.observers.peers.clone();
         keys.retain(|k| *k != me);
         for i in 0..keys.len().min(n) {
             let j = i + pick(self.rng.next_u64(), keys.len() - i);
--- a/crates/coriandercove_state/src/membership/heartbeat.rs
+++ b/crates/coriandercove_state/src/membership/heartbeat.rs
@@ -12,13 +12,16 @@
 /// observer lives.
 const ACK_EVERY: u64 = 4;
 
+/// Callers that get heartbeats beside the observers.
+const MAX_CALLERS: usize = 8;
+
 impl EntryMembership {
     pub(super) fn received(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) {
         self.counters.received += 1;
         self.counters.bytes_received += (bytes.len() + self.cfg.overhead) as u64;
         match Message::decode(bytes) {
             Some(Message::Heartbeat(beat)) => self.heartbeat(now, from, &beat),
-            Some(Message::Ack(ack)) => self.acked(now, ack),
+            Some(Message::Ack(ack)) => self.acked(now, from, ack),
             Some(Message::Digest(digest)) => self.digest(now, from, digest),
             Some(Message::Query(query)) => self.query(now, from, &query),
             None => self.counters.malformed += 1,
@@ -169,7 +172,10 @@
             .collect()
     }
 
-    fn acked(&mut self, now: Time, ack: Ack) {
+    fn acked(&mut self, now: Time, from: SocketAddr, ack: Ack) {
+        if ack.seq == 0 && self.callers.len() < MAX_CALLERS {
+            self.callers.insert(from, now + self.cfg.heartbeat * 30);
+        }
         if let Some(info) = ack.info.filter(|i| is_valid(i, ack.key)) {
             self.merge_record(
                 now,
@@ -219,6 +225,14 @@
             to = self.cfg.seeds.clone();
             self.info_rounds = self.info_rounds.max(1);
         }
+        self.callers.retain(|_, until| now < *until);
+        to.extend(
+            self.callers
+                .keys()
+                .filter(|a| !to.contains(a))
+                .copied()
+                .collect::<Vec<_>>(),
+        );
         to.retain(|a| *a != self.cfg.me.udp);
         let seq = self.next_seq();
         let mine = self.mine();
--- a/crates/coriandercove_state/src/membership/observers.rs
+++ b/crates/coriandercove_state/src/membership/observers.rs
@@ -19,38 +19,47 @@
 pub(super) struct Observers {
     /// Live entries that do not leave, with their zones.
     pub(super) entries: Vec<(MemberKey, ZoneId)>,
+    /// All entries that may be reached, those that leave included: they still route their last
+    /// requests.
+    pub(super) peers: Vec<MemberKey>,
 }
 
 impl Observers {
     /// Reads the live entries from the table.
     pub(super) fn read(table: &Table) -> Self {
-        let entries = table
-            .members
-            .iter()
-            .filter(|(_, m)| m.record.info.role == Role::Entry && may_observe(m))
-            .map(|(key, m)| (*key, m.record.info.zone.clone()))
-            .collect();
-        Self { entries }
+        let peers = || {
+            let members = table.members.iter();
+            members.filter(|(_, m)| m.record.info.role == Role::Entry && m.is_reachable())
+        };
+        let entries = peers()
+            .filter(|(_, m)| !m.record.leaving)
+            .map(|(key, m)| (*key, m.record.info.zone.clone()));
+        Self {
+            entries: entries.collect(),
+            peers: peers().map(|(key, _)| *key).collect(),
+        }
     }
 
     /// Chooses the observers of all members of the table: by rendezvous hash, the member's own
     /// zone first, among entries below the load bound. All entries with the same table choose
-    /// alike, because members are taken in the order of their keys.
+    /// alike, because members are taken in the order of their keys. Members that only the VM list
+    /// names take no room, because entries learn of them at different times.
     pub(super) fn assign(&self, table: &Table) -> Vec<(MemberKey, Vec<MemberKey>)> {
-        let listed = |m: &&Member| m.record.liveness != Liveness::Dead;
-        let members = table.members.values().filter(listed).count();
+        let listed = |m: &Member| m.record.liveness != Liveness::Dead;
+        let heard = |m: &Member| listed(m) && m.record.incarnation > 0;
+        let members = table.members.values().filter(|m| heard(m)).count();
         let mean = members * OBSERVERS * LOAD_BOUND / 100 / self.entries.len().max(1);
         let mut room = vec![mean + 1; self.entries.len()];
         let mut all = Vec::with_capacity(members);
-        for (key, member) in &table.members {
-            if listed(&member) {
-                let chosen = self.choose(*key, &member.record.info.zone, &room);
+        for (key, member) in table.members.iter().filter(|(_, m)| listed(m)) {
+            let chosen = self.choose(*key, &member.record.info.zone, &room);
+            if heard(member) {
                 for i in &chosen {
                     room[*i] = room[*i].saturating_sub(1);
                 }
-                let keys = chosen.into_iter().map(|i| self.entries[i].0).collect();
-                all.push((*key, keys));
             }
+            let keys = chosen.into_iter().map(|i| self.entries[i].0).collect();
+            all.push((*key, keys));
         }
         all
     }
@@ -97,10 +106,6 @@
     }
 }
 
-fn may_observe(member: &Member) -> bool {
-    member.is_reachable() && !member.record.leaving
-}
-
 /// Short hash of a list of observers' addresses, by which a member and its observers compare.
 /// One byte, because it is in each heartbeat; an observer that a collision leaves without
 /// heartbeats calls the member itself.
