--- a/crates/coriandercove_target/src/cache.rs
+++ b/crates/coriandercove_target/src/cache.rs
@@ -37,6 +37,24 @@
     }
 }
 
+impl CacheEvents {
+    /// Whether the numbers rise from above `after`.
+    ///
+    /// # Errors
+    /// A description of the first event out of order.
+    pub fn check(&self, after: u64) -> Result<(), String> {
+        let mut last = after;
+        for (i, event) in self.events.iter().enumerate() {
+            if event.number <= last {
+                let number = event.number;
+                return Err(format!("events[{i}].number {number}: must be above {last}"));
+            }
+            last = event.number;
+        }
+        Ok(())
+    }
+}
+
 /// The hash of each whole block of `inputs` together with everything before it.
 #[must_use]
 pub fn prefix_hashes(inputs: &[u64]) -> Vec<u64> {
--- a/crates/coriandercove_target/src/http_engine.rs
+++ b/crates/coriandercove_target/src/http_engine.rs
@@ -4,9 +4,9 @@
 use coriandercove_base::http::{HttpAnswer, HttpCall, HttpClient, HttpError};
 use futures_util::future::LocalBoxFuture;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 
 use crate::cache::CacheEvents;
+use crate::decode::{decode_cache_events, decode_info, decode_load, decode_reply};
 use crate::engine::{
     Engine, EngineError, EngineInfo, EngineLoad, ForwardReply, ForwardRequest, OrderRequest,
 };
@@ -48,10 +48,24 @@
         })
     }
 
-    fn get<T: DeserializeOwned + 'static>(&self, path: &str) -> Answer<T> {
+    fn get<T: 'static>(
+        &self,
+        path: &str,
+        decode: impl FnOnce(&[u8]) -> Result<T, String> + 'static,
+    ) -> Answer<T> {
         let call = self.call("GET", path, Bytes::new());
         let url = self.url.clone();
-        Box::pin(async move { decode(&url, &call.await?.body) })
+        Box::pin(async move { decode(&call.await?.body).map_err(|e| answer_error(&url, &e)) })
+    }
+
+    /// A call about one sequence.
+    fn sequence(&self, method: &str, seq: &str, rest: &str, body: Bytes) -> Answer<HttpAnswer> {
+        // Other characters could change the meaning of the path.
+        if !seq.is_empty() && seq.bytes().all(|b| b.is_ascii_alphanumeric()) {
+            return self.call(method, &format!("/v1/sequences/{seq}/{rest}"), body);
+        }
+        let (url, message) = (self.url.clone(), format!("not a sequence: {seq:?}"));
+        Box::pin(async move { Err(EngineError::Connect { url, message }) })
     }
 
     fn post(&self, path: &str, body: &impl Serialize) -> Answer<HttpAnswer> {
@@ -81,38 +95,27 @@
     }
 }
 
-fn decode<T: DeserializeOwned>(url: &str, body: &[u8]) -> Result<T, EngineError> {
-    serde_json::from_slice(body).map_err(|e| answer_error(url, &e))
-}
-
 impl Engine for HttpEngine {
     fn forward(&self, req: ForwardRequest) -> Answer<ForwardReply> {
         let call = self.post("/v1/forward", &req);
         let url = self.url.clone();
         Box::pin(async move {
-            let reply: ForwardReply = decode(&url, &call.await?.body)?;
-            reply.check(&req).map_err(|e| answer_error(&url, &e))?;
-            Ok(reply)
+            let body = call.await?.body;
+            decode_reply(&body, &req).map_err(|e| answer_error(&url, &e))
         })
     }
 
     fn cancel(&self, seq: String) -> Answer<()> {
-        let call = self.call("POST", &format!("/v1/sequences/{seq}/cancel"), Bytes::new());
+        let call = self.sequence("POST", &seq, "cancel", Bytes::new());
         Box::pin(async move { call.await.map(drop) })
     }
 
     fn info(&self) -> Answer<EngineInfo> {
-        let call = self.get::<EngineInfo>("/v1/info");
-        let url = self.url.clone();
-        Box::pin(async move {
-            let info = call.await?;
-            info.check().map_err(|e| answer_error(&url, &e))?;
-            Ok(info)
-        })
+        self.get("/v1/info", decode_info)
     }
 
     fn load(&self) -> Answer<EngineLoad> {
-        self.get("/v1/load")
+        self.get("/v1/load", decode_load)
     }
 
     fn order(&self, req: OrderRequest) -> Answer<()> {
@@ -121,16 +124,17 @@
     }
 
     fn export_kv(&self, seq: String) -> Answer<Bytes> {
-        let call = self.call("GET", &format!("/v1/sequences/{seq}/kv"), Bytes::new());
+        let call = self.sequence("GET", &seq, "kv", Bytes::new());
         Box::pin(async move { Ok(call.await?.body) })
     }
 
     fn import_kv(&self, seq: String, kv: Bytes) -> Answer<()> {
-        let call = self.call("PUT", &format!("/v1/sequences/{seq}/kv"), kv);
+        let call = self.sequence("PUT", &seq, "kv", kv);
         Box::pin(async move { call.await.map(drop) })
     }
 
     fn cache_events(&self, after: u64) -> Answer<CacheEvents> {
-        self.get(&format!("/v1/cache-events?after={after}"))
+        let path = format!("/v1/cache-events?after={after}");
+        self.get(&path, move |body| decode_cache_events(body, after))
     }
 }
--- a/crates/coriandercove_target/src/lib.rs
+++ b/crates/coriandercove_target/src/lib.rs
@@ -1,6 +1,7 @@
 //! The protocols of model engines and plain services.
 
 pub mod cache;
+pub mod decode;
 pub mod engine;
 mod http_engine;
 mod http_service;
