--- a/crates/coriandercove_standin/src/engine/app.rs
+++ b/crates/coriandercove_standin/src/engine/app.rs
@@ -24,6 +24,8 @@
 
 /// Shortest period between two load samples.
 const MIN_SAMPLE_PERIOD: Duration = Duration::from_millis(10);
+/// Items that may wait for an iteration.
+const MAX_QUEUED: usize = 65_536;
 /// Size of the answer for [`Nonsense::Huge`].
 const HUGE: usize = 32 << 20;
 
@@ -96,7 +98,8 @@
             let duration = iteration.duration.mul_f64(slow.clamp(0.0, 1e6));
             self.sleep_until(schedule.plan(now, duration)).await;
             self.faults.wait_for(|f| !f.frozen).await;
-            schedule.delivered(self.clock.now());
+            let backlog = !self.batcher.borrow().is_idle();
+            schedule.delivered(self.clock.now(), backlog);
             self.publish();
             self.deliver(iteration.results);
             // Lets the connections read calls that have arrived in the meantime.
@@ -166,6 +169,10 @@
         if req.items.is_empty() {
             return Reply::json(200, &ForwardReply { items: Vec::new() });
         }
+        let queued = self.batcher.borrow().load().queued as usize;
+        if queued + req.items.len() > MAX_QUEUED {
+            return Reply::text(503, "the queue is full");
+        }
         let done = self.enqueue(req);
         match done.await {
             Ok(items) => Reply::json(200, &self.distort(ForwardReply { items })),
--- a/crates/coriandercove_standin/src/vm_list.rs
+++ b/crates/coriandercove_standin/src/vm_list.rs
@@ -15,9 +15,6 @@
 use crate::faults::Faults;
 use crate::server::{App, Reply, Req, Server};
 
-/// Past states of the list that are kept until they are shown.
-const MAX_HISTORY: usize = 10_000;
-
 data! {
     /// Faults of the VM list; body of `PUT /control/faults`.
     #[derive(Default, Eq)]
@@ -51,14 +48,21 @@
     }
 }
 
-/// The actual VMs and the states that the list has yet to show.
+/// A change of the list.
+#[derive(Debug, Clone)]
+enum VmChange {
+    Put(Vm),
+    Leave(String),
+    Remove(String),
+}
+
+/// The list as it is shown, and the changes that it has yet to show.
 #[derive(Debug)]
 pub struct VmRecord {
     lag: Duration,
-    actual: VmTable,
     shown: VmTable,
-    /// Later states with the time when they are shown.
-    pending: VecDeque<(Time, VmTable)>,
+    /// Changes with the time when they are shown.
+    pending: VecDeque<(Time, VmChange)>,
 }
 
 impl VmRecord {
@@ -66,58 +70,57 @@
     #[must_use]
     pub fn new(lag: Duration, mut vms: Vec<Vm>) -> Self {
         vms.sort_by(|a, b| a.name.cmp(&b.name));
-        let table = VmTable { version: 1, vms };
         Self {
             lag,
-            shown: table.clone(),
-            actual: table,
+            shown: VmTable { version: 1, vms },
             pending: VecDeque::new(),
         }
     }
 
-    fn change(&mut self, now: Time, change: impl FnOnce(&mut Vec<Vm>)) {
-        change(&mut self.actual.vms);
-        self.actual.version += 1;
-        if self.pending.len() == MAX_HISTORY {
-            self.pending.pop_front();
-        }
-        self.pending
-            .push_back((now + self.lag, self.actual.clone()));
-    }
-
     /// Adds a VM or replaces the one with its name.
     pub fn put(&mut self, now: Time, vm: Vm) {
-        self.change(now, |vms| {
-            match vms.binary_search_by(|v| v.name.cmp(&vm.name)) {
-                Ok(i) => vms[i] = vm,
-                Err(i) => vms.insert(i, vm),
-            }
-        });
+        self.pending.push_back((now + self.lag, VmChange::Put(vm)));
     }
 
     /// Marks a VM as leaving.
     pub fn set_leaving(&mut self, now: Time, name: &str) {
-        self.change(now, |vms| {
-            if let Some(vm) = vms.iter_mut().find(|v| v.name == name) {
-                vm.state = VmState::Leaving;
-            }
-        });
+        let change = VmChange::Leave(name.to_owned());
+        self.pending.push_back((now + self.lag, change));
     }
 
     /// Removes a VM.
     pub fn remove(&mut self, now: Time, name: &str) {
-        self.change(now, |vms| vms.retain(|v| v.name != name));
+        let change = VmChange::Remove(name.to_owned());
+        self.pending.push_back((now + self.lag, change));
     }
 
     /// What the list shows.
     pub fn shown(&mut self, now: Time) -> &VmTable {
-        while let Some((_, table)) = self.pending.pop_front_if(|(at, _)| *at <= now) {
-            self.shown = table;
+        while let Some((_, change)) = self.pending.pop_front_if(|(at, _)| *at <= now) {
+            self.shown.version += 1;
+            change.apply(&mut self.shown.vms);
         }
         &self.shown
     }
 }
 
+impl VmChange {
+    fn apply(self, vms: &mut Vec<Vm>) {
+        match self {
+            Self::Put(vm) => match vms.binary_search_by(|v| v.name.cmp(&vm.name)) {
+                Ok(i) => vms[i] = vm,
+                Err(i) => vms.insert(i, vm),
+            },
+            Self::Leave(name) => {
+                if let Some(vm) = vms.iter_mut().find(|v| v.name == name) {
+                    vm.state = VmState::Leaving;
+                }
+            }
+            Self::Remove(name) => vms.retain(|v| v.name != name),
+        }
+    }
+}
+
 /// A running VM list stand-in. Dropping it kills the list.
 pub struct VmListHandle {
     server: Server,
--- a/crates/coriandercove_standin/tests/engine.rs
+++ b/crates/coriandercove_standin/tests/engine.rs
@@ -238,3 +238,76 @@
     let failures = reply.items.iter().filter(failed).count();
     assert_that!(failures, all![gt(10), lt(54)]);
 }
+
+#[actix_rt::test]
+async fn load_reports_lag() {
+    let mut late = quick(0, 4, 4);
+    late.load_lag = Duration::from_secs(3_600);
+    let (_late, late) = start(late);
+    let (_live, live) = start(quick(0, 4, 4));
+    for (engine, sequences) in [(&late, 0), (&live, 1)] {
+        forward(engine, item("s", 0, 0, vec![1])).await;
+        let load = engine.load().await.expect("a report");
+        assert_eq!(load.sequences, sequences);
+    }
+}
+
+#[actix_rt::test]
+async fn a_slow_engine_is_no_answer_after_the_timeout() {
+    let (handle, _) = start(quick(0, 4, 4));
+    // An iteration of 100 us takes 100 s.
+    handle.faults().update(|f| f.slow_factor = 1e6);
+    let limits = HttpLimits {
+        timeout: Duration::from_millis(50),
+        ..HttpLimits::default()
+    };
+    let client = HttpEngine::new(HttpClient::new(limits), &handle.url());
+    let result = client.forward(one(item("s", 0, 0, vec![1]))).await;
+    assert!(
+        matches!(result, Err(EngineError::Answer { .. })),
+        "{result:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn a_restarted_engine_takes_its_old_address_and_has_no_state() {
+    let (handle, client) = start(quick(0, 4, 4));
+    forward(&client, item("s", 0, 0, vec![1])).await;
+    let mut settings = quick(0, 4, 4);
+    settings.listen = handle.addr();
+    handle.kill();
+    let _again = engine::start(settings).expect("the address is free");
+    let reply = client.forward(one(item("s", 1, 0, vec![2]))).await;
+    let reply = match reply {
+        // The pooled connection of the old run was found closed only when it was used.
+        Err(EngineError::Answer { .. }) => client.forward(one(item("s", 1, 0, vec![2]))).await,
+        other => other,
+    };
+    let error = reply.expect("an answer").items[0].error;
+    assert_eq!(error, Some(ItemError::PositionGap { expected: 0 }));
+}
+
+#[actix_rt::test]
+async fn a_sequence_name_that_changes_the_path_is_not_sent() {
+    let (_handle, client) = start(quick(0, 4, 4));
+    for seq in ["", "a/b", "a?b", "..", "a b"] {
+        let result = client.cancel(seq.to_owned()).await;
+        assert!(matches!(result, Err(EngineError::Connect { .. })), "{seq}");
+    }
+}
+
+#[actix_rt::test]
+async fn faults_are_set_over_http_too() {
+    use coriandercove_base::http::HttpCall;
+    let (handle, _) = start(quick(0, 4, 4));
+    let http = HttpClient::new(HttpLimits::default());
+    let put = |body: &'static str| {
+        let url = format!("{}/control/faults", handle.url());
+        http.call(HttpCall::new("PUT", url).body(body))
+    };
+    let set = put(r#"{"fail_share":0.25,"nonsense":"not_json"}"#).await;
+    assert_eq!(set.expect("an answer").status, 204);
+    assert_eq!(handle.faults().get().nonsense, Nonsense::NotJson);
+    let unknown = put(r#"{"fail_shares":0.25}"#).await;
+    assert_eq!(unknown.expect("an answer").status, 400);
+}
