--- /dev/null
+++ b/crates/coriandercove_cli/src/commands/generate.rs
@@ -0,0 +1,25 @@
+//! `coriandercove generate`.
+
+use serde_json::json;
+
+use super::files;
+use crate::args::GenerateArgs;
+use crate::error::{CliError, Exit};
+use crate::output::Output;
+
+pub(crate) fn run(args: &GenerateArgs, out: &mut Output) -> Result<Exit, CliError> {
+    let objects = files::answers(&args.answers)?.config.to_objects();
+    let Some(path) = &args.out else {
+        out.raw(&objects.to_json());
+        return Ok(Exit::Success);
+    };
+    // The file is a product of the answers, so a new run replaces it.
+    files::write(path, &objects.to_json(), true)?;
+    let (count, digest) = (objects.len(), objects.digest());
+    let text = format!("{}: {count} objects, digest {digest}\n", path.display());
+    out.result(
+        &text,
+        &json!({"file": path, "objects": count, "digest": digest}),
+    );
+    Ok(Exit::Success)
+}
--- /dev/null
+++ b/crates/coriandercove_cli/src/commands/nodes.rs
@@ -0,0 +1,88 @@
+//! Which processes a command talks to.
+
+use std::path::{Path, PathBuf};
+
+use coriandercove_config::Secret;
+use coriandercove_config::answers::{Answers, agent_settings, entry_settings};
+use coriandercove_config::settings::OPERATOR_TOKEN_ENV;
+use coriandercove_operator::OperationsClient;
+
+use super::files;
+use crate::args::TokenArgs;
+use crate::error::CliError;
+
+/// Whether `text` is the operations address of a process rather than a name or a file.
+pub(crate) fn is_url(text: &str) -> bool {
+    text.starts_with("http://") || text.parse::<std::net::SocketAddr>().is_ok()
+}
+
+fn base(text: &str) -> String {
+    if text.starts_with("http://") {
+        text.to_owned()
+    } else {
+        format!("http://{text}")
+    }
+}
+
+/// Names and operations addresses of all processes of the answers, entries first.
+pub(crate) fn all(answers: &Answers) -> Vec<(String, String)> {
+    let entries = entry_settings(answers)
+        .into_iter()
+        .map(|e| (e.node.to_string(), format!("http://{}", e.operations)));
+    let agents = agent_settings(answers)
+        .into_iter()
+        .map(|a| (a.node.to_string(), format!("http://{}", a.operations)));
+    entries.chain(agents).collect()
+}
+
+/// Address of a process that is given by address or by its name in the answers.
+pub(crate) fn resolve(node: &str, answers: Option<&PathBuf>) -> Result<String, CliError> {
+    if is_url(node) {
+        return Ok(base(node));
+    }
+    let Some(path) = answers else {
+        let message = format!(
+            "`{node}` is no address; use http://IP:PORT, or --answers FILE to find it by name"
+        );
+        return Err(CliError::Usage { message });
+    };
+    let answers = files::answers(path)?.answers;
+    let nodes = all(&answers);
+    let found = nodes.iter().find(|(name, _)| name == node);
+    found.map(|(_, url)| url.clone()).ok_or_else(|| {
+        let names: Vec<&str> = nodes.iter().take(12).map(|(n, _)| n.as_str()).collect();
+        let message = format!(
+            "{} names no process `{node}`; the first ones are {}",
+            path.display(),
+            names.join(", ")
+        );
+        CliError::Usage { message }
+    })
+}
+
+/// The operator token from its file or the environment.
+pub(crate) fn token(args: &TokenArgs) -> Result<Secret, CliError> {
+    let text = match &args.token_file {
+        Some(path) => files::read(Path::new(path))?,
+        None => std::env::var(OPERATOR_TOKEN_ENV).map_err(|_| {
+            let message =
+                format!("no operator token; set {OPERATOR_TOKEN_ENV} or use --token-file");
+            CliError::Usage { message }
+        })?,
+    };
+    Secret::new(&text).map_err(|e| CliError::Usage {
+        message: format!("the operator token is invalid: {e}"),
+    })
+}
+
+/// A client for one process.
+pub(crate) fn client(
+    node: &str,
+    answers: Option<&PathBuf>,
+    args: &TokenArgs,
+) -> Result<OperationsClient, CliError> {
+    Ok(OperationsClient::new(
+        &resolve(node, answers)?,
+        token(args)?,
+    ))
+}
--- /dev/null
+++ b/crates/coriandercove_cli/src/lib.rs
@@ -0,0 +1,11 @@
+//! The operators' command line.
+
+pub mod args;
+mod commands;
+pub mod config_log;
+pub mod dev;
+pub mod error;
+pub mod output;
+pub mod prompt;
+
+pub use commands::run;
