--- a/crates/coriandercove_config/src/answers/check.rs
+++ b/crates/coriandercove_config/src/answers/check.rs
@@ -6,8 +6,8 @@
 
 use serde_norway::Value;
 
-use super::generate::generate_with_origins;
-use super::{Answers, CallAnswer, MAX_TARGETS, TEMPLATE, TargetGroup};
+use super::generate::{PORT_STRIDE, first_target_port, generate_with_origins};
+use super::{Answers, CallAnswer, MAX_TARGETS, Spread, TEMPLATE, TargetGroup};
 use crate::config::{Config, NAME_FORM, check_quality, is_name, list};
 use crate::problem::Problems;
 use crate::url::check_url;
@@ -302,6 +302,16 @@
                 &allowed,
             );
         }
+        let shift = match g.spread {
+            Spread::Ip => 0,
+            Spread::Port => PORT_STRIDE.saturating_mul(g.replicas.saturating_sub(1)),
+        };
+        let last = u32::from(first_target_port(g)).saturating_add(shift);
+        if g.target_port == Some(0) || last > u32::from(u16::MAX) {
+            let problem = format!("the port {last} is out of range");
+            let allowed = "1 to 65535 for every target; with spread `port` they are 10 apart";
+            self.add(&format!("{key}.target_port"), problem, allowed);
+        }
         let engine = [
             ("accelerator", g.accelerator.is_some()),
             ("model", g.model.is_some()),
--- a/crates/coriandercove_config/src/answers/generate.rs
+++ b/crates/coriandercove_config/src/answers/generate.rs
@@ -15,7 +15,7 @@
 /// Targets that one deployment may have; some more than three times the planned size.
 pub const MAX_TARGETS: u32 = 12_000;
 /// Distance of the ports of two targets on one machine.
-const PORT_STRIDE: u32 = 10;
+pub(super) const PORT_STRIDE: u32 = 10;
 /// Seconds of the quota that an account may use at once if it does not say otherwise.
 const BURST_SECONDS: u64 = 10;
 
@@ -270,13 +270,18 @@
     format!("{}-{:03}", group.name, n.saturating_add(1)).into()
 }
 
+/// Port of the engine or service beside the first agent.
+pub(super) fn first_target_port(group: &TargetGroup) -> u16 {
+    group
+        .target_port
+        .unwrap_or_else(|| group.peer.port().saturating_add(2))
+}
+
 /// Address of the engine or service beside the agent of target `n`.
 pub(super) fn target_address(group: &TargetGroup, n: u32) -> SocketAddr {
     let peer = nth_address(group, n);
     let shift = peer.port().saturating_sub(group.peer.port());
-    let first = group
-        .target_port
-        .unwrap_or_else(|| group.peer.port().saturating_add(2));
+    let first = first_target_port(group);
     SocketAddr::new(peer.ip(), first.saturating_add(shift))
 }
 
