--- a/crates/coriandercove_config/src/answers.rs
+++ b/crates/coriandercove_config/src/answers.rs
@@ -200,7 +200,7 @@
         /// Latest end of a request after it arrived.
         #[serde(default = "default_request_deadline", with = "crate::duration")]
         pub request_deadline: Duration,
-        /// Priority of requests whose account sets none; lower values run first.
+        /// Priority among requests of equally urgent accounts; lower values run first.
         #[serde(default = "default_priority")]
         pub priority: u8,
         /// Expected compute on each kind of accelerator.
--- a/crates/coriandercove_config/src/config/account.rs
+++ b/crates/coriandercove_config/src/config/account.rs
@@ -2,6 +2,8 @@
 
 use coriandercove_base::{AccountId, data};
 
+use super::Pipeline;
+
 data! {
     /// A client account: its share of the capacity, its quota and its keys.
     #[derive(Eq)]
@@ -17,7 +19,7 @@
         pub burst_tokens: u64,
         /// Requests in progress at one time, over all entries.
         pub concurrency: u32,
-        /// Priority of the account's requests; lower values run first.
+        /// Priority of the account's requests, 0 to 9; lower values run first.
         pub priority: u8,
         /// Keys that are valid now. Two keys at one time let an account rotate without a break.
         pub keys: Vec<KeyHash>,
@@ -33,3 +35,20 @@
         pub hash: String,
     }
 }
+
+impl Account {
+    /// Priority of a request for `pipeline`, 0 to 99; lower values run first.
+    ///
+    /// The account's priority counts first, because it says how urgently a person waits; that of
+    /// the model decides between requests of equal accounts.
+    #[must_use]
+    pub const fn request_priority(&self, pipeline: &Pipeline) -> u8 {
+        let account = if self.priority > 9 { 9 } else { self.priority };
+        let model = if pipeline.priority > 9 {
+            9
+        } else {
+            pipeline.priority
+        };
+        account * 10 + model
+    }
+}
--- a/crates/coriandercove_config/src/config/pipeline.rs
+++ b/crates/coriandercove_config/src/config/pipeline.rs
@@ -30,7 +30,7 @@
         /// Latest end of a request after it arrived.
         #[serde(with = "crate::duration")]
         pub request_deadline: Duration,
-        /// Priority of requests whose account sets none; lower values run first.
+        /// Priority among requests of equally urgent accounts, 0 to 9; lower values run first.
         pub priority: u8,
         /// Expected compute on each kind of accelerator, sorted by kind.
         pub compute: Vec<LayerCompute>,
--- a/crates/coriandercove_config/src/config/tests.rs
+++ b/crates/coriandercove_config/src/config/tests.rs
@@ -131,3 +131,18 @@
         assert!(text.contains(expected), "{expected} in {text}");
     }
 }
+
+/// Guards against a model whose priority outweighs the urgency of an account.
+#[test]
+fn the_account_decides_before_the_model() {
+    let mut config = config();
+    let (mut urgent, mut other) = (config.accounts[0].clone(), config.accounts[0].clone());
+    (urgent.priority, other.priority) = (3, 4);
+    let pipeline = config.pipelines[0].clone();
+    config.pipelines[0].priority = 9;
+    let late = &config.pipelines[0];
+    assert!(urgent.request_priority(late) < other.request_priority(&pipeline));
+    assert!(other.request_priority(&pipeline) < other.request_priority(late));
+    other.priority = u8::MAX;
+    assert_eq!(other.request_priority(late), 99);
+}
