--- a/crates/coriandercove_cli/src/dev.rs
+++ b/crates/coriandercove_cli/src/dev.rs
@@ -1,8 +1,9 @@
 //! `coriandercove dev`: a whole deployment in one process on loopback.
 
-use std::io::Write;
+use coriandercove_local::{Deployment, Plan};
 
-use coriandercove_local::{Deployment, DeploymentError, Plan};
+use crate::error::{CliError, Exit};
+use crate::output::Output;
 
 /// Arguments of `dev`.
 #[derive(Debug, clap::Args)]
@@ -18,20 +19,20 @@
 /// Runs a deployment until SIGINT or SIGTERM.
 ///
 /// # Errors
-/// [`DeploymentError`] if a part does not start.
-pub fn run(args: &DevArgs, out: &mut dyn Write) -> Result<(), DeploymentError> {
+/// [`CliError`] if a part does not start.
+pub async fn run(args: DevArgs, out: &mut Output) -> Result<Exit, CliError> {
     let plan = Plan {
         first_port: args.port,
         seed: args.seed,
         ..Plan::small()
     };
-    let deployment = Deployment::start(plan)?;
-    // Without a reader of its output the deployment still runs.
-    let _ = out.write_all(banner(&deployment).as_bytes());
-    let _ = out.flush();
-    actix_rt::System::new().block_on(ended_by_signal());
+    let deployment = Deployment::start(plan).map_err(|e| CliError::Remote {
+        message: e.to_string(),
+    })?;
+    out.raw(&banner(&deployment));
+    ended_by_signal().await;
     deployment.drain();
-    Ok(())
+    Ok(Exit::Success)
 }
 
 fn banner(deployment: &Deployment) -> String {
--- a/crates/coriandercove_cli/src/main.rs
+++ b/crates/coriandercove_cli/src/main.rs
@@ -1,34 +1,14 @@
-//! The operators' command line.
+//! Starts the command line.
 
-mod dev;
+use std::io::IsTerminal as _;
 
-use std::process::ExitCode;
+use clap::Parser as _;
+use coriandercove_cli::args::Cli;
+use coriandercove_cli::output::Output;
 
-use clap::{Parser, Subcommand};
-
-#[derive(Parser)]
-#[command(name = "coriandercove", version, about)]
-struct Cli {
-    #[command(subcommand)]
-    command: Command,
-}
-
-#[derive(Subcommand)]
-enum Command {
-    /// Runs a whole deployment with stand-ins in this process, on loopback.
-    Dev(dev::DevArgs),
-}
-
-fn main() -> ExitCode {
-    let Cli {
-        command: Command::Dev(args),
-    } = Cli::parse();
-    match dev::run(&args, &mut std::io::stdout()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            use std::io::Write as _;
-            let _ = writeln!(std::io::stderr(), "error: {e}");
-            ExitCode::FAILURE
-        }
-    }
+fn main() -> std::process::ExitCode {
+    let cli = Cli::parse();
+    let mut out = Output::standard(cli.output, std::io::stdin().is_terminal());
+    let exit = coriandercove_cli::run(cli, &mut out);
+    exit.code()
 }
--- a/crates/coriandercove_entry/src/core/router.rs
+++ b/crates/coriandercove_entry/src/core/router.rs
@@ -110,12 +110,8 @@
 
     /// Requests that each model takes at once from this entry.
     #[must_use]
-    pub fn slots(&self) -> Vec<(ModelId, u32)> {
-        let share = |model: &ModelId| {
-            self.planner
-                .concurrency(model)
-                .div_ceil(self.entries as u32)
-        };
+    pub fn slots(&self, now: Time) -> Vec<(ModelId, u32)> {
+        let share = |model: &ModelId| self.planner.own_slots(model, self.entries, now);
         self.models.keys().map(|m| (m.clone(), share(m))).collect()
     }
 
