Report a kept slow target once and count the wait for a busy slot

Each success cleared the note that the floor keeps a slow target, so every tick could report it again. The wait estimate was zero with all slots busy and an empty queue, so requests waited until their deadline instead of being refused at the door. Both have a test.

--- a/crates/coriandercove_policy/src/admission.rs
+++ b/crates/coriandercove_policy/src/admission.rs
@@ -283,9 +283,7 @@
 
     fn wait(&self, pool: &Pool, now: Time, arrival: &Arrival) -> Duration {
         let weight = self.accounts.weight(&arrival.account);
-        let seconds = arrival.service_time.as_secs_f64().max(1e-3);
-        let guess = arrival.cost as f64 / seconds;
-        pool.wait(&arrival.account, weight, arrival.priority, now, guess)
+        pool.wait(arrival, weight, now)
     }
 
     fn enqueue(&mut self, arrival: Arrival, place: Place) {
--- a/crates/coriandercove_policy/src/admission/pool.rs
+++ b/crates/coriandercove_policy/src/admission/pool.rs
@@ -5,6 +5,7 @@
 use coriandercove_base::{AccountId, Time};
 
 use super::fair::FairQueue;
+use super::types::Arrival;
 
 /// Weight of the past at each completed request: the rate covers about the last 100.
 const DECAY: f64 = 0.99;
@@ -34,6 +35,8 @@
     cost: f64,
     /// Decayed sum of the seconds for which they held a slot.
     held: f64,
+    /// Decayed number of completed requests.
+    completed: f64,
     /// Estimated [`QUANTILE`] of the actual over the expected service time.
     margin: f64,
 }
@@ -47,6 +50,7 @@
             blocked_until: Time::ZERO,
             cost: 0.0,
             held: 0.0,
+            completed: 0.0,
             margin: 1.5,
         }
     }
@@ -71,6 +75,7 @@
         self.blocked_until = Time::ZERO;
         self.cost = self.cost * DECAY + cost as f64;
         self.held = self.held * DECAY + held.as_secs_f64();
+        self.completed = self.completed * DECAY + 1.0;
     }
 
     /// Takes an actual service time in. The estimate moves up on a longer one and down on a
@@ -93,7 +98,7 @@
 
     /// Cost served per second with all slots in use. Before the first completion, `guess`
     /// stands for the cost per second of one slot.
-    pub(super) fn rate(&self, guess: f64) -> f64 {
+    fn rate(&self, guess: f64) -> f64 {
         let per_slot = if self.held > 0.0 {
             self.cost / self.held
         } else {
@@ -102,20 +107,27 @@
         per_slot * f64::from(self.slots)
     }
 
-    /// Expected wait of a new request for a slot.
-    pub(super) fn wait(
-        &self,
-        account: &AccountId,
-        weight: f64,
-        priority: u8,
-        now: Time,
-        guess: f64,
-    ) -> Duration {
+    /// Expected wait of a new request for a slot: until the next slot is freed, and while the
+    /// requests ahead are served. Before the first completion, the request's own cost and
+    /// service time stand for those of others.
+    pub(super) fn wait(&self, arrival: &Arrival, weight: f64, now: Time) -> Duration {
         if self.is_idle(now) {
             return Duration::ZERO;
         }
-        let ahead = self.fair.ahead(account, weight, priority);
-        let seconds = ahead / self.rate(guess).max(1e-9);
+        let service = arrival.service_time.as_secs_f64().max(1e-3);
+        let slots = f64::from(self.slots).max(1e-9);
+        let held = if self.completed > 0.0 {
+            self.held / self.completed
+        } else {
+            service
+        };
+        let next = if self.in_use < self.slots {
+            0.0
+        } else {
+            held / slots
+        };
+        let ahead = self.fair.ahead(&arrival.account, weight, arrival.priority);
+        let seconds = next + ahead / self.rate(arrival.cost as f64 / service).max(1e-9);
         if seconds >= MAX_WAIT.as_secs_f64() {
             MAX_WAIT
         } else {
--- a/crates/coriandercove_policy/src/admission/tests.rs
+++ b/crates/coriandercove_policy/src/admission/tests.rs
@@ -101,6 +101,26 @@
     expect_that!(admission.queued(), eq(0));
 }
 
+/// Guards against callers that wait for a slot that is not freed in time, although no one else
+/// waits.
+#[gtest]
+fn a_busy_slot_counts_as_a_wait() {
+    let mut admission = admission(1);
+    for req in 0..20 {
+        let start = secs(req as f64 * 10.0);
+        admission.offer(start, arrival(req, "a", 10, start));
+        admission.release(start + secs(10.0), req, 10);
+    }
+    let now = secs(200.0);
+    admission.offer(now, arrival(20, "a", 10, now));
+    let mut hasty = arrival(21, "a", 10, now);
+    hasty.deadline = now + secs(5.0);
+    let explanation = admission.explain(now, &hasty);
+    expect_that!(explanation.estimated_wait, eq(secs(10.0)));
+    let reason = explanation.refusal.map(|r| r.reason);
+    expect_that!(reason, some(eq(RefusalReason::DeadlineTooShort)));
+}
+
 /// Guards against a busy loop when the planner finds no chain for a dispatched request.
 #[gtest]
 fn a_requeued_request_comes_back_first_after_a_pause() {
--- a/crates/coriandercove_policy/src/health.rs
+++ b/crates/coriandercove_policy/src/health.rs
@@ -143,8 +143,8 @@
     admitted_at: Time,
     /// Whether the weight ramps up from `admitted_at`.
     ramps: bool,
-    /// Whether the floor's protection was reported in this episode.
-    kept_reported: bool,
+    /// Cause for which the floor's protection was reported in this episode.
+    kept: Option<EjectCause>,
 }
 
 impl State {
@@ -161,7 +161,7 @@
         self.ejected_until = None;
         self.admitted_at = now;
         self.ramps = true;
-        self.kept_reported = false;
+        self.kept = None;
         self.stats = Stats::default();
     }
 }
@@ -197,7 +197,7 @@
                 ejections: 0,
                 admitted_at: now,
                 ramps,
-                kept_reported: false,
+                kept: None,
             };
             self.targets.insert(target, state);
         }
@@ -229,7 +229,8 @@
         };
         state.stats.add(now, outcome);
         if state.stats.consecutive_failures == 0 {
-            state.kept_reported = false;
+            // A success ends an episode of failures, but a slow target succeeds all the time.
+            state.kept = state.kept.filter(|cause| *cause == EjectCause::Slow);
             return Vec::new();
         }
         let rate = state.stats.failure_rate(self.cfg.min_results);
@@ -254,7 +255,13 @@
                 });
             }
         }
-        for name in self.slow() {
+        let slow = self.slow();
+        for (name, state) in &mut self.targets {
+            if state.kept == Some(EjectCause::Slow) && !slow.contains(name) {
+                state.kept = None;
+            }
+        }
+        for name in slow {
             out.extend(self.eject(&name, now, EjectCause::Slow));
         }
         out
@@ -324,7 +331,7 @@
         let is_allowed = self.floor_allows(target);
         let state = self.targets.get_mut(target)?;
         if !is_allowed {
-            let is_first = !std::mem::replace(&mut state.kept_reported, true);
+            let is_first = state.kept.replace(cause).is_none();
             return is_first.then(|| HealthAction::KeptByFloor {
                 target: target.clone(),
                 cause,
--- a/crates/coriandercove_policy/src/health/tests.rs
+++ b/crates/coriandercove_policy/src/health/tests.rs
@@ -92,6 +92,25 @@
     expect_true!(health.is_ejected("t2"));
 }
 
+/// Guards against a report at each tick for a slow target that the floor keeps.
+#[gtest]
+fn a_slow_target_kept_by_the_floor_is_reported_once() {
+    let mut health = health(3);
+    health.insert("t0".into(), member(0, 10, 9.0), Time::ZERO, false);
+    let mut actions = Vec::new();
+    for step in 0..300 {
+        for (target, slowness) in [("t0", 9.0), ("t1", 1.0), ("t2", 1.0)] {
+            health.on_result(target, secs(step), Outcome::Success { slowness });
+        }
+        actions.extend(health.tick(secs(step)));
+    }
+    let kept = HealthAction::KeptByFloor {
+        target: "t0".into(),
+        cause: EjectCause::Slow,
+    };
+    expect_that!(actions, elements_are![eq(&kept)]);
+}
+
 /// Guards against a flapping target that gets a full share of work every few seconds.
 #[gtest]
 fn ejections_double_and_health_is_forgiving() {
