Delete claims by the monotonic clock of an entry only

Cause: the age of a segment was taken from wall clocks, so one entry with a wrong clock would have deleted claims in use and let their calls run again. Change: an entry deletes a segment only after it has known it sealed for the whole retention on its own monotonic clock. Settings take the retention as a duration.

--- a/crates/coriandercove_state/src/claim.rs
+++ b/crates/coriandercove_state/src/claim.rs
@@ -52,7 +52,7 @@
         pub ticket: Ticket,
         /// What is known of the call.
         pub state: ClaimState,
-        /// Wall clock of the writing entry in ms since 1970, for retention.
+        /// Wall clock of the writing entry in ms since 1970, for people; nothing depends on it.
         pub at_ms: u64,
     }
 
--- a/crates/coriandercove_state/src/claim/index.rs
+++ b/crates/coriandercove_state/src/claim/index.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use coriandercove_base::Time;
+
 use super::{Change, Claim, ClaimState, KeyHash, Segment};
 use crate::store_call::Version;
 
@@ -11,6 +13,8 @@
     pub number: u64,
     pub version: Version,
     pub segment: Segment,
+    /// When this version was first seen, by the own monotonic clock.
+    pub since: Time,
 }
 
 /// A segment that is never written again.
@@ -18,6 +22,8 @@
 pub(super) struct Sealed {
     pub version: Version,
     pub segment: Segment,
+    /// When the segment was first seen sealed, by the own monotonic clock.
+    pub since: Time,
 }
 
 /// What a change means for the claims in view.
@@ -55,7 +61,12 @@
         self.active.as_ref().map(|a| (a.number, a.version))
     }
 
-    pub fn set_active(&mut self, active: Active) {
+    pub fn set_active(&mut self, mut active: Active) {
+        if let Some(old) = &self.active
+            && (old.number, old.version) == (active.number, active.version)
+        {
+            active.since = old.since;
+        }
         for claim in &active.segment.claims {
             self.claims.insert(claim.key, claim.clone());
         }
--- a/crates/coriandercove_state/src/claim/load.rs
+++ b/crates/coriandercove_state/src/claim/load.rs
@@ -11,6 +11,8 @@
 
 use std::collections::BTreeMap;
 
+use coriandercove_base::Time;
+
 use super::index::{Active, Sealed, View};
 use super::segment::Segment;
 use crate::fault::{self, Fault};
@@ -113,12 +115,23 @@
     }
 
     /// Takes in a segment that was read, or `None` if it does not exist any more.
-    pub fn on_get(&mut self, view: &mut View, number: u64, found: Option<(Version, Segment)>) {
+    pub fn on_get(
+        &mut self,
+        view: &mut View,
+        now: Time,
+        number: u64,
+        found: Option<(Version, Segment)>,
+    ) {
         self.missing.retain(|n| *n != number);
         match found {
             None => {}
             Some((version, segment)) if segment.sealed && !fault::is_on(Fault::WriteToSealed) => {
-                view.set_sealed(number, Sealed { version, segment });
+                let sealed = Sealed {
+                    version,
+                    segment,
+                    since: now,
+                };
+                view.set_sealed(number, sealed);
             }
             Some((version, _)) if number < self.highest => {
                 // Its successor exists, so the segment had been sealed and was deleted since.
@@ -133,6 +146,7 @@
                     number,
                     version,
                     segment,
+                    since: now,
                 });
             }
         }
--- a/crates/coriandercove_state/src/claim/reply.rs
+++ b/crates/coriandercove_state/src/claim/reply.rs
@@ -23,9 +23,9 @@
         let is_read = matches!(op, Op::List | Op::Get(_));
         let mut failed = reply == StoreReply::Unavailable || (is_read && reply == StoreReply::Lost);
         let mut actions = match op {
-            Op::Write { segment, batch } => self.on_write(segment, batch, &reply),
+            Op::Write { segment, batch } => self.on_write(now, segment, batch, &reply),
             op => {
-                failed |= !self.on_other(op, reply);
+                failed |= !self.on_other(now, op, reply);
                 Vec::new()
             }
         };
@@ -40,14 +40,14 @@
 
     /// Takes the result of a call other than a write of claims. Returns `false` if the
     /// content of an object is malformed.
-    fn on_other(&mut self, op: Op, reply: StoreReply) -> bool {
+    fn on_other(&mut self, now: Time, op: Op, reply: StoreReply) -> bool {
         match (op, reply) {
             (Op::List, StoreReply::Names(names)) => self.on_names(&names),
             (Op::Get(number), StoreReply::Value { version, value }) => {
                 match Segment::decode(&value) {
                     Ok(segment) => {
                         let found = Some((version, segment));
-                        self.loader.on_get(&mut self.view, number, found);
+                        self.loader.on_get(&mut self.view, now, number, found);
                     }
                     // Nothing is known of the claims in it, so the shard stays unloaded.
                     Err(_) => {
@@ -57,7 +57,7 @@
                 }
             }
             (Op::Get(number), StoreReply::Absent) => {
-                self.loader.on_get(&mut self.view, number, None);
+                self.loader.on_get(&mut self.view, now, number, None);
             }
             (Op::Create(number), StoreReply::Written(version))
                 if fault::is_on(Fault::CreateNotConfirmed) =>
@@ -67,11 +67,12 @@
                     number,
                     version,
                     segment,
+                    since: now,
                 };
                 self.loader.trust_created(&mut self.view, active);
             }
             (Op::Create(_), reply) if reply != StoreReply::Unavailable => self.loader.on_create(),
-            (Op::Seal(segment), reply) => self.on_seal(segment, &reply),
+            (Op::Seal(segment), reply) => self.on_seal(now, segment, &reply),
             (Op::Delete(number), StoreReply::Deleted | StoreReply::Absent) => {
                 self.view.retain(|n| n != number);
                 self.view.rebuild();
@@ -98,12 +99,17 @@
         self.loader.on_list(&mut self.view, &numbers);
     }
 
-    fn on_seal(&mut self, segment: Segment, reply: &StoreReply) {
+    fn on_seal(&mut self, now: Time, segment: Segment, reply: &StoreReply) {
         match (reply, self.view.position()) {
             (StoreReply::Unavailable, _) => return,
             (StoreReply::Written(version), Some((number, _))) => {
                 let version = *version;
-                self.view.set_sealed(number, Sealed { version, segment });
+                let sealed = Sealed {
+                    version,
+                    segment,
+                    since: now,
+                };
+                self.view.set_sealed(number, sealed);
             }
             _ => {}
         }
@@ -112,12 +118,13 @@
 
     fn on_write(
         &mut self,
+        now: Time,
         segment: Segment,
         batch: Vec<Waiting>,
         reply: &StoreReply,
     ) -> Vec<ShardAction> {
         match reply {
-            StoreReply::Written(version) => self.on_written(*version, segment, &batch),
+            StoreReply::Written(version) => self.on_written(now, *version, segment, &batch),
             StoreReply::Unavailable => self.requeue(batch),
             StoreReply::Conflict | StoreReply::Absent if fault::is_on(Fault::IgnoreConflict) => {
                 self.loader.restart(&self.view);
@@ -135,6 +142,7 @@
 
     fn on_written(
         &mut self,
+        now: Time,
         version: Version,
         segment: Segment,
         batch: &[Waiting],
@@ -144,6 +152,7 @@
                 number,
                 version,
                 segment,
+                since: now,
             });
         }
         settle_all(batch, &ChangeResult::Written)
--- a/crates/coriandercove_state/src/claim/segment.rs
+++ b/crates/coriandercove_state/src/claim/segment.rs
@@ -103,12 +103,6 @@
             None => self.claims.push(claim),
         }
     }
-
-    /// Time of the newest claim, in ms since 1970.
-    #[must_use]
-    pub fn newest_ms(&self) -> u64 {
-        self.claims.iter().map(|c| c.at_ms).max().unwrap_or(0)
-    }
 }
 
 #[expect(
--- a/crates/coriandercove_state/src/claim/shard.rs
+++ b/crates/coriandercove_state/src/claim/shard.rs
@@ -15,7 +15,8 @@
 
 /// Room for the parts of a segment besides its claims, in bytes.
 const SEGMENT_OVERHEAD: usize = 64;
-/// Least time between two looks for old segments, which read all claims of a segment.
+/// Least time between two looks for old segments, so that many entries that look for them
+/// take few of the store's writes.
 const CLEAN_GAP: Duration = Duration::from_secs(1);
 
 data! {
@@ -24,8 +25,8 @@
     pub struct ShardSettings {
         /// Start of the names of the shard's objects; see [`super::shard_prefix`].
         pub prefix: String,
-        /// Age in ms after which claims are deleted.
-        pub retention_ms: u64,
+        /// Least time for which claims are kept.
+        pub retention: Duration,
         /// Least time between two writes.
         pub write_gap: Duration,
         /// Wait before the store is tried again after a failure; doubles up to 2 s.
@@ -43,7 +44,7 @@
     pub const fn new(prefix: String) -> Self {
         Self {
             prefix,
-            retention_ms: 24 * 3600 * 1000,
+            retention: Duration::from_secs(24 * 3600),
             write_gap: Duration::from_millis(100),
             retry: Duration::from_millis(50),
             segment_bytes: MAX_SEGMENT_BYTES,
@@ -227,12 +228,11 @@
     }
 
     /// Goes on with waiting work, and removes or seals segments whose claims are too old.
-    /// `wall_ms` is the wall clock in ms since 1970.
-    pub fn tick(&mut self, now: Time, wall_ms: u64) -> Vec<ShardAction> {
+    pub fn tick(&mut self, now: Time) -> Vec<ShardAction> {
         let mut actions = self.advance(now);
         if self.op.is_none() && self.loader.is_ready() && now >= self.next_clean {
-            self.next_clean = now + CLEAN_GAP;
-            actions.extend(self.clean(wall_ms));
+            self.next_clean = now + CLEAN_GAP.min(self.settings.retention / 8);
+            actions.extend(self.clean(now));
         }
         actions
     }
@@ -420,17 +420,20 @@
     }
 
     /// Deletes one object that is no longer needed, or seals an old active segment.
-    fn clean(&mut self, wall_ms: u64) -> Option<ShardAction> {
-        let retention = self.settings.retention_ms;
-        let is_old = |s: &Segment| s.newest_ms().saturating_add(retention) < wall_ms;
+    ///
+    /// A segment is old if this entry has known it, unchanged, for the whole retention on its
+    /// own monotonic clock. The wall clocks of entries decide nothing: an entry whose clock is
+    /// wrong would delete claims that are in use.
+    fn clean(&mut self, now: Time) -> Option<ShardAction> {
+        let is_old = |since: Time| now > since + self.settings.retention;
         let stray = self.loader.stray.iter().next();
         let oldest = self.view.sealed.iter().next();
         let (op, number, version) = match (stray, oldest) {
             (Some((&n, &version)), _) => (Op::DeleteStray(n), n, version),
-            (None, Some((&n, s))) if is_old(&s.segment) => (Op::Delete(n), n, s.version),
+            (None, Some((&n, s))) if is_old(s.since) => (Op::Delete(n), n, s.version),
             _ => {
-                let active = &self.view.active.as_ref()?.segment;
-                let is_due = !active.claims.is_empty() && is_old(active);
+                let active = self.view.active.as_ref()?;
+                let is_due = !active.segment.claims.is_empty() && is_old(active.since);
                 return if is_due { self.seal() } else { None };
             }
         };
--- a/crates/coriandercove_state/src/claim/tests.rs
+++ b/crates/coriandercove_state/src/claim/tests.rs
@@ -80,8 +80,8 @@
     let settled = shard.on_store(10 * MS, StoreReply::Written(2));
     expect_that!(keys_written(&settled), is_empty());
     expect_that!(shard.next_wake(), some(eq(101 * MS)));
-    expect_that!(shard.tick(100 * MS, 0), is_empty());
-    let second = shard.tick(101 * MS, 0);
+    expect_that!(shard.tick(100 * MS), is_empty());
+    let second = shard.tick(101 * MS);
     expect_that!(
         keys_written(&second),
         elements_are![eq(&1), eq(&2), eq(&3), eq(&4)]
--- a/crates/coriandercove_state/src/once/entry.rs
+++ b/crates/coriandercove_state/src/once/entry.rs
@@ -21,8 +21,8 @@
     pub struct OnceSettings {
         /// Shards for each service. All entries must use the same number.
         pub shards: u16,
-        /// Age in ms after which claims are deleted.
-        pub retention_ms: u64,
+        /// Least time for which claims are kept.
+        pub retention: Duration,
         /// Least time between two writes of a shard.
         pub write_gap: Duration,
         /// Agents tried for one request.
@@ -42,7 +42,7 @@
     fn default() -> Self {
         Self {
             shards: 16,
-            retention_ms: 24 * 3600 * 1000,
+            retention: Duration::from_secs(24 * 3600),
             write_gap: Duration::from_millis(100),
             max_targets: 3,
             probe_gap: Duration::from_millis(250),
--- a/crates/coriandercove_state/src/once/shards.rs
+++ b/crates/coriandercove_state/src/once/shards.rs
@@ -26,7 +26,7 @@
         self.shards.entry(id.clone()).or_insert_with(|| {
             let seed = random_id(rng);
             let settings = ShardSettings {
-                retention_ms: settings.retention_ms,
+                retention: settings.retention,
                 write_gap: settings.write_gap,
                 segment_bytes: settings.segment_bytes,
                 ..ShardSettings::new(shard_prefix(&id.0, id.1))
@@ -141,11 +141,11 @@
 
     pub(super) fn tick(&mut self) {
         self.tick_calls();
-        let (now, wall_ms) = (self.now, self.wall_ms);
+        let now = self.now;
         let mut ids: Vec<_> = self.shards.keys().cloned().collect();
         ids.sort_unstable();
         for id in ids {
-            let actions = self.shard(&id).tick(now, wall_ms);
+            let actions = self.shard(&id).tick(now);
             self.on_shard(&id, actions);
         }
     }
