Ask the agent about an open claim when a caller queries a key

A claim whose entry died stays open in the store, so GET /v1/requests/{key} could never tell its end. A query now asks the ticket's agent without burning the ticket and records the answer. The shard test also checks the rate of writes.

--- a/crates/coriandercove_state/src/once.rs
+++ b/crates/coriandercove_state/src/once.rs
@@ -9,6 +9,7 @@
 mod call;
 mod entry;
 mod forward;
+mod query;
 mod shards;
 
 use std::sync::Arc;
@@ -125,6 +126,8 @@
         Unknown,
         /// The store cannot be read and the key is not in memory.
         StoreUnavailable,
+        /// The entry is at its limit of queries.
+        Overloaded,
     }
 }
 
@@ -188,6 +191,13 @@
         /// The key.
         key: KeyHash,
     },
+    /// Result of [`Action::Peek`]; `None` if the agent cannot be reached.
+    Peeked {
+        /// The asking request.
+        req: RequestId,
+        /// What the agent says.
+        reply: Option<TicketReply>,
+    },
     /// The entries that are alive, as far as this one knows. Decides only who writes which
     /// shard usually; without it, the entry writes all claims itself.
     Entries {
@@ -248,6 +258,13 @@
         /// The ticket.
         ticket: Ticket,
     },
+    /// Ask the ticket's agent about the ticket without burning it, for an [`Event::Query`].
+    Peek {
+        /// The request that asks.
+        req: RequestId,
+        /// The ticket.
+        ticket: Ticket,
+    },
     /// Answer the caller. There is exactly one for each [`Event::Start`].
     Reply {
         /// The request.
--- a/crates/coriandercove_state/src/once/entry.rs
+++ b/crates/coriandercove_state/src/once/entry.rs
@@ -9,6 +9,7 @@
 
 use super::call::{Call, Phase};
 use super::forward::Forwards;
+use super::query::Peek;
 use super::{
     Action, Event, KeyStatus, KeyedBy, OnceRequest, Outcome, Refusal, StoreOp, TargetAgent,
 };
@@ -105,6 +106,7 @@
     pub(super) ops: HashMap<StoreOp, ShardId>,
     pub(super) next_op: StoreOp,
     pub(super) readings: Vec<Reading>,
+    pub(super) peeks: HashMap<RequestId, Peek>,
     pub(super) forwards: Forwards,
     pub(super) out: Vec<Action>,
 }
@@ -125,6 +127,7 @@
             ops: HashMap::new(),
             next_op: 0,
             readings: Vec::new(),
+            peeks: HashMap::new(),
             forwards: Forwards::default(),
             out: Vec::new(),
         }
@@ -165,6 +168,7 @@
             Event::LinkLost { req, ticket } => self.on_link_lost(req, ticket),
             Event::Probed { req, ticket, reply } => self.on_probed(req, ticket, reply),
             Event::Query { req, service, key } => self.on_query(req, service, key),
+            Event::Peeked { req, reply } => self.on_peeked(req, reply),
             Event::Entries { me, live } => self.on_entries(me, live),
             Event::Forwarded {
                 from,
--- a/crates/coriandercove_state/src/once/forward.rs
+++ b/crates/coriandercove_state/src/once/forward.rs
@@ -67,11 +67,15 @@
         self.forwards.writers.clear();
     }
 
-    /// Has a change written, by the usual writer of the shard if there is another.
+    /// Has a change to the shard of a call written.
     pub(super) fn submit(&mut self, req: RequestId, tag: u128, change: Change) {
-        let Some(shard) = self.shard_of_call(req) else {
-            return;
-        };
+        if let Some(shard) = self.shard_of_call(req) {
+            self.submit_to(shard, tag, change);
+        }
+    }
+
+    /// Has a change to a shard written, by its usual writer if that is another entry.
+    pub(super) fn submit_to(&mut self, shard: ShardId, tag: u128, change: Change) {
         let has_room = self.forwards.sent.len() < self.settings.max_calls;
         match self.forwards.writer(&shard).filter(|_| has_room) {
             None => self.submit_here(&shard, tag, change),
--- a/crates/coriandercove_state/src/once/shards.rs
+++ b/crates/coriandercove_state/src/once/shards.rs
@@ -5,11 +5,9 @@
 use coriandercove_base::RequestId;
 use coriandercove_base::rng::random_id;
 
-use super::entry::{OnceEntry, Reader, Reading, ShardId, status_of};
-use super::{Action, KeyStatus, StoreOp};
-use crate::claim::{
-    Change, ClaimState, KeyHash, Shard, ShardAction, ShardSettings, shard_of, shard_prefix,
-};
+use super::entry::{OnceEntry, Reader, Reading, ShardId};
+use super::{Action, StoreOp};
+use crate::claim::{Change, KeyHash, Shard, ShardAction, ShardSettings, shard_of, shard_prefix};
 use crate::store_call::StoreReply;
 
 /// Tag of changes whose result nobody waits for. Request ids are random and never zero.
@@ -96,7 +94,7 @@
         self.readings = waiting;
         for reading in ended {
             match reading.reader {
-                Reader::Query(key) => self.answer(reading.req, id, key, is_read),
+                Reader::Query(key) => self.on_query_read(reading.req, id, key, is_read),
                 Reader::Call => self.on_read_back(reading.req, is_read),
             }
         }
@@ -116,29 +114,6 @@
         self.on_shard(id, actions);
     }
 
-    pub(super) fn on_query(&mut self, req: RequestId, service: Arc<str>, key: KeyHash) {
-        let shard = self.shard_id(service, key);
-        let claim = self.shard(&shard).lookup(key);
-        let is_final = claim.is_some_and(|c| matches!(c.state, ClaimState::Done { .. }));
-        if is_final || self.readings.len() >= self.settings.max_calls {
-            return self.answer(req, &shard, key, false);
-        }
-        self.read(req, &shard, Reader::Query(key));
-    }
-
-    fn answer(&mut self, req: RequestId, shard: &ShardId, key: KeyHash, is_read: bool) {
-        let status = match self.shard(shard).lookup(key) {
-            // An open claim of a key may have been taken over since by another request.
-            Some(claim) if is_read || matches!(claim.state, ClaimState::Done { .. }) => {
-                status_of(claim)
-            }
-            Some(_) => KeyStatus::Open,
-            None if is_read => KeyStatus::NotFound,
-            None => KeyStatus::StoreUnavailable,
-        };
-        self.out.push(Action::Status { req, status });
-    }
-
     pub(super) fn tick(&mut self) {
         self.tick_calls();
         let now = self.now;
--- a/crates/coriandercove_state/src/ticket.rs
+++ b/crates/coriandercove_state/src/ticket.rs
@@ -192,6 +192,12 @@
         TicketReply::NotRun(NotRunReason::Burned)
     }
 
+    /// Answers a question about a ticket without burning it. A ticket never seen may still
+    /// arrive, so the reply for it is [`TicketReply::Running`].
+    pub fn peek(&mut self, wall_ms: u64, ticket: &Ticket) -> TicketReply {
+        self.known(wall_ms, ticket).unwrap_or(TicketReply::Running)
+    }
+
     /// Marks an accepted call as running, right before it goes to the service.
     ///
     /// # Errors
--- a/crates/coriandercove_state/tests/claims/calls.rs
+++ b/crates/coriandercove_state/tests/claims/calls.rs
@@ -137,6 +137,7 @@
         "unknown",
         "in progress",
         "key reused",
+        "state of a key",
     ];
     runner::check::<Calls>("calls", 40, 400, &reached);
 }
--- a/crates/coriandercove_state/tests/claims/calls_world.rs
+++ b/crates/coriandercove_state/tests/claims/calls_world.rs
@@ -24,6 +24,8 @@
     Probe(Run, RequestId, Ticket),
     Reply(Run, usize, RequestId, TicketId, TicketReply),
     Probed(Run, usize, RequestId, TicketId, TicketReply),
+    Peek(Run, RequestId, Ticket),
+    Peeked(Run, usize, RequestId, TicketReply),
     Forward(Run, usize, ForwardId, Change),
     Forwarded(Run, ForwardId, ChangeResult),
 }
@@ -168,6 +170,7 @@
                 self.probes.push((run, req, ticket.id));
                 self.net.push(Msg::Probe(run, req, ticket));
             }
+            Action::Peek { req, ticket } => self.net.push(Msg::Peek(run, req, ticket)),
             Action::Reply { req, outcome } => self.oracle.on_outcome(req, &outcome),
             Action::Status { req, status } => self.oracle.on_status(req, &status),
             Action::Forward { to, id, change, .. } => {
@@ -235,10 +238,12 @@
 
     fn can_deliver(&self, msg: &Msg) -> bool {
         let (run, agent, to_agent) = match msg {
-            Msg::Dispatch(run, _, ticket, _) | Msg::Probe(run, _, ticket) => {
-                (run, agent_of(ticket), true)
-            }
-            Msg::Reply(run, agent, ..) | Msg::Probed(run, agent, ..) => (run, *agent, false),
+            Msg::Dispatch(run, _, ticket, _)
+            | Msg::Probe(run, _, ticket)
+            | Msg::Peek(run, _, ticket) => (run, agent_of(ticket), true),
+            Msg::Reply(run, agent, ..)
+            | Msg::Probed(run, agent, ..)
+            | Msg::Peeked(run, agent, ..) => (run, *agent, false),
             Msg::Forward(_, to, ..) => return !self.entries[*to].paused,
             Msg::Forwarded(run, ..) => return !self.entries[run.0].paused,
         };
@@ -286,6 +291,15 @@
                 let reply = Some(reply);
                 self.event(run.0, Event::Probed { req, ticket, reply });
             }
+            Msg::Peek(run, req, ticket) => {
+                let at = agent_of(&ticket);
+                let reply = self.agents[at].table.peek(wall, &ticket);
+                self.net.push(Msg::Peeked(run, at, req, reply));
+            }
+            Msg::Peeked(run, _, req, reply) if self.is_current(run) => {
+                let reply = Some(reply);
+                self.event(run.0, Event::Peeked { req, reply });
+            }
             Msg::Forward(run, to, id, change) => {
                 let from = format!("{}/{}", run.0, run.1).into();
                 let service = "kiln".into();
@@ -302,7 +316,7 @@
                 let result = Some(result);
                 self.event(run.0, Event::ForwardEnded { id, result });
             }
-            Msg::Reply(..) | Msg::Probed(..) | Msg::Forwarded(..) => {}
+            Msg::Reply(..) | Msg::Probed(..) | Msg::Peeked(..) | Msg::Forwarded(..) => {}
         }
     }
 
--- a/crates/coriandercove_state/tests/claims/oracle.rs
+++ b/crates/coriandercove_state/tests/claims/oracle.rs
@@ -118,6 +118,9 @@
     }
 
     pub fn on_status(&mut self, req: RequestId, status: &KeyStatus) {
+        if matches!(status, KeyStatus::Done(_)) {
+            tally("state of a key");
+        }
         let (key, has_effect) = self.queries[&req];
         match status {
             KeyStatus::NotFound if has_effect => violation("a key with an effect was not found"),
--- a/crates/coriandercove_state/tests/claims/shards.rs
+++ b/crates/coriandercove_state/tests/claims/shards.rs
@@ -53,6 +53,7 @@
     paused: bool,
     held: bool,
     last: Option<Claim>,
+    last_write: Option<Time>,
 }
 
 /// What the oracle knows of a claim by its ticket.
@@ -89,6 +90,7 @@
         paused: false,
         held: false,
         last: None,
+        last_write: None,
     }
 }
 
@@ -179,6 +181,12 @@
             match action {
                 ShardAction::Store(call) => {
                     let writer = &mut self.writers[at];
+                    if is_claim_write(&call) {
+                        let last = writer.last_write.replace(self.now);
+                        if last.is_some_and(|last| self.now < last + Duration::from_millis(100)) {
+                            violation("more than ten writes a second");
+                        }
+                    }
                     writer.calls += 1;
                     self.store.send((at, writer.run, writer.calls), call);
                 }
@@ -300,6 +308,13 @@
     }
 }
 
+fn is_claim_write(call: &StoreCall) -> bool {
+    match call {
+        StoreCall::PutIf { value, .. } => !Segment::decode(value).unwrap().sealed,
+        _ => false,
+    }
+}
+
 fn done(ticket: u128) -> ClaimState {
     ClaimState::Done {
         status: 200,
