Refuse changes whose answer body is over the limit

A forwarded change with a long body would have made its segment unreadable for all entries. The shard refuses such a change before it is written.

--- a/crates/coriandercove_state/src/claim.rs
+++ b/crates/coriandercove_state/src/claim.rs
@@ -96,7 +96,23 @@
     }
 }
 
+impl ClaimState {
+    fn is_too_large(&self) -> bool {
+        matches!(self, Self::Done { body: Some(body), .. } if body.len() > MAX_CLAIM_BODY)
+    }
+}
+
 impl Change {
+    /// Whether the change carries an answer body that no reader of the segment would accept.
+    #[must_use]
+    pub fn is_too_large(&self) -> bool {
+        let state = match self {
+            Self::Claim(claim) | Self::Replace { new: claim, .. } => &claim.state,
+            Self::Record { state, .. } => state,
+        };
+        state.is_too_large()
+    }
+
     /// The key that the change is about.
     #[must_use]
     pub const fn key(&self) -> KeyHash {
--- a/crates/coriandercove_state/src/claim/segment.rs
+++ b/crates/coriandercove_state/src/claim/segment.rs
@@ -3,7 +3,7 @@
 use coriandercove_base::data;
 use snafu::Snafu;
 
-use super::{Claim, ClaimState, MAX_CLAIM_BODY};
+use super::{Claim, MAX_CLAIM_BODY};
 
 /// Largest encoded segment, in bytes.
 pub const MAX_SEGMENT_BYTES: usize = 256 * 1024;
@@ -85,9 +85,7 @@
     }
 
     fn check(self) -> Result<Self, SegmentError> {
-        let long = self.claims.iter().any(
-            |c| matches!(&c.state, ClaimState::Done { body: Some(b), .. } if b.len() > MAX_CLAIM_BODY),
-        );
+        let long = self.claims.iter().any(|c| c.state.is_too_large());
         if long {
             return Err(SegmentError::Malformed {
                 message: format!("an answer body has more than {MAX_CLAIM_BODY} bytes"),
--- a/crates/coriandercove_state/src/claim/shard.rs
+++ b/crates/coriandercove_state/src/claim/shard.rs
@@ -186,7 +186,7 @@
 
     /// Queues a change. Its result comes as [`ShardAction::Settled`] with the same tag.
     pub fn submit(&mut self, now: Time, tag: u128, change: Change) -> Vec<ShardAction> {
-        if self.queue.len() >= self.settings.max_waiting {
+        if self.queue.len() >= self.settings.max_waiting || change.is_too_large() {
             return vec![settled(tag, ChangeResult::Overloaded)];
         }
         if now < self.retry_at && may_fail(&change) {
--- a/crates/coriandercove_state/src/claim/tests.rs
+++ b/crates/coriandercove_state/src/claim/tests.rs
@@ -139,6 +139,18 @@
     );
 }
 
+/// Guards against a claim that makes its whole segment unreadable.
+#[gtest]
+fn a_long_body_is_refused() {
+    let mut shard = loaded();
+    let actions = shard.submit(MS, 1, Change::Claim(claim(1, MAX_CLAIM_BODY + 1)));
+    let (tag, result) = (1, ChangeResult::Overloaded);
+    expect_that!(
+        actions,
+        elements_are![eq(&ShardAction::Settled { tag, result })]
+    );
+}
+
 /// Guards against objects beyond the limits.
 #[gtest]
 fn segments_have_limits() {
