--- a/crates/coriandercove_state/src/once/entry.rs
+++ b/crates/coriandercove_state/src/once/entry.rs
@@ -9,6 +9,7 @@
 
 use super::call::{Call, Phase};
 use super::forward::Forwards;
+use super::query::Peek;
 use super::{
     Action, Event, KeyStatus, KeyedBy, OnceRequest, Outcome, Refusal, StoreOp, TargetAgent,
 };
@@ -21,8 +22,8 @@
     pub struct OnceSettings {
         /// Shards for each service. All entries must use the same number.
         pub shards: u16,
-        /// Age in ms after which claims are deleted.
-        pub retention_ms: u64,
+        /// Least time for which claims are kept.
+        pub retention: Duration,
         /// Least time between two writes of a shard.
         pub write_gap: Duration,
         /// Agents tried for one request.
@@ -42,7 +43,7 @@
     fn default() -> Self {
         Self {
             shards: 16,
-            retention_ms: 24 * 3600 * 1000,
+            retention: Duration::from_secs(24 * 3600),
             write_gap: Duration::from_millis(100),
             max_targets: 3,
             probe_gap: Duration::from_millis(250),
@@ -53,6 +54,21 @@
     }
 }
 
+/// Figures of a [`OnceEntry`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct OnceStats {
+    /// Calls under way.
+    pub calls: usize,
+    /// Claims in memory.
+    pub claims: usize,
+    /// Changes that wait to be written.
+    pub waiting: usize,
+    /// Refused conditional writes so far.
+    pub conflicts: u64,
+    /// Segments that could not be decoded so far.
+    pub malformed: u64,
+}
+
 /// Names a shard: service and number.
 pub(super) type ShardId = (Arc<str>, u16);
 
@@ -90,6 +106,7 @@
     pub(super) ops: HashMap<StoreOp, ShardId>,
     pub(super) next_op: StoreOp,
     pub(super) readings: Vec<Reading>,
+    pub(super) peeks: HashMap<RequestId, Peek>,
     pub(super) forwards: Forwards,
     pub(super) out: Vec<Action>,
 }
@@ -110,6 +127,7 @@
             ops: HashMap::new(),
             next_op: 0,
             readings: Vec::new(),
+            peeks: HashMap::new(),
             forwards: Forwards::default(),
             out: Vec::new(),
         }
@@ -121,6 +139,22 @@
         self.calls.len()
     }
 
+    /// Figures for the metrics of the process.
+    #[must_use]
+    pub fn stats(&self) -> OnceStats {
+        let mut stats = OnceStats {
+            calls: self.calls.len(),
+            ..OnceStats::default()
+        };
+        for shard in self.shards.values() {
+            stats.claims += shard.claims();
+            stats.waiting += shard.waiting();
+            stats.conflicts += shard.conflicts();
+            stats.malformed += shard.malformed();
+        }
+        stats
+    }
+
     /// Takes an event. `wall_ms` is the wall clock in ms since 1970.
     pub fn on_event(&mut self, now: Time, wall_ms: u64, event: Event) -> Vec<Action> {
         self.now = now;
@@ -134,6 +168,7 @@
             Event::LinkLost { req, ticket } => self.on_link_lost(req, ticket),
             Event::Probed { req, ticket, reply } => self.on_probed(req, ticket, reply),
             Event::Query { req, service, key } => self.on_query(req, service, key),
+            Event::Peeked { req, reply } => self.on_peeked(req, reply),
             Event::Entries { me, live } => self.on_entries(me, live),
             Event::Forwarded {
                 from,
