Give up forgotten members everywhere, and count briefly silent targets as loading

Found by runs with fresh seeds, which are tests now: an entry that was paused while a member died and was forgotten elsewhere listed it for ever (membership), and a target that was silent for a short time while it loaded let a second target of its range load (placement).

--- a/crates/coriandercove_state/src/membership/gossip.rs
+++ b/crates/coriandercove_state/src/membership/gossip.rs
@@ -283,35 +283,40 @@
         }
         let mine = self.table.buckets();
         let differs = |k: &MemberKey| query.buckets.get(bucket(*k)) != mine.get(bucket(*k));
-        let mut keys: Vec<MemberKey> = self
-            .table
-            .members
-            .keys()
-            .filter(|k| differs(k))
-            .copied()
-            .collect();
-        if keys.is_empty()
+        let mut states = self.states(differs);
+        if states.is_empty()
             || !self
                 .budget
                 .allows(self.cfg.digest_bytes + self.cfg.overhead)
         {
             return;
         }
-        let start = pick(self.rng.next_u64(), keys.len());
-        keys.rotate_left(start);
+        let start = pick(self.rng.next_u64(), states.len());
+        states.rotate_left(start);
         let mut digest = self.empty_digest();
         let mut room = Room::new(&digest, self.cfg.digest_bytes, self.cfg.datagram_bytes);
-        for key in keys {
-            if let Some(member) = self.table.get(key).filter(|m| m.record.incarnation > 0) {
-                let state = state_record(key, member);
-                if !room.take(&state) {
-                    break;
-                }
-                digest.changes.push(state);
-            }
-        }
+        digest.changes = states.into_iter().take_while(|s| room.take(s)).collect();
         self.send(from, &Message::Digest(digest));
     }
+
+    /// States of the members chosen, forgotten ones included as dead: an entry that was away when
+    /// a member died would otherwise list it for ever.
+    fn states(&self, chosen: impl Fn(&MemberKey) -> bool) -> Vec<StateRecord> {
+        let members = self.table.members.iter();
+        let heard = members.filter(|(_, m)| m.record.incarnation > 0);
+        let heard = heard.map(|(k, m)| state_record(*k, m));
+        let forgotten = self.table.forgotten.iter();
+        let dead = forgotten.filter(|(k, _)| self.table.get(**k).is_none());
+        let dead = dead.map(|(key, f)| StateRecord {
+            key: *key,
+            incarnation: f.incarnation,
+            beat: f.beat,
+            liveness: Liveness::Dead,
+            leaving: f.leaving,
+            detail_version: 0,
+        });
+        heard.chain(dead).filter(|s| chosen(&s.key)).collect()
+    }
 }
 
 fn state_record(key: MemberKey, member: &Member) -> StateRecord {
--- a/crates/coriandercove_state/src/placement.rs
+++ b/crates/coriandercove_state/src/placement.rs
@@ -29,6 +29,8 @@
     pending: Option<(PlacementOrder, Time)>,
     /// Time until which it gets no order, after a failure.
     paused_until: Time,
+    /// Since when it is not available.
+    gone_since: Option<Time>,
 }
 
 /// The placement job of one holder of the placement lease.
@@ -90,7 +92,7 @@
             PlacementEvent::Holder(fence) => self.take_over(now, fence),
             PlacementEvent::NotHolder => self.stand_down(),
             PlacementEvent::Desired(desired) => self.desired = desired,
-            PlacementEvent::Targets(views) => self.set_targets(views),
+            PlacementEvent::Targets(views) => self.set_targets(now, views),
             PlacementEvent::Confirmed { fence, view } => self.confirmed(fence, view),
             PlacementEvent::OrderResult {
                 target,
@@ -129,7 +131,7 @@
         }
     }
 
-    fn set_targets(&mut self, views: Vec<TargetView>) {
+    fn set_targets(&mut self, now: Time, views: Vec<TargetView>) {
         let mut old = std::mem::take(&mut self.targets);
         for view in views {
             let target = old.remove(&view.target).unwrap_or_else(|| Target {
@@ -138,9 +140,14 @@
                 asked_at: None,
                 pending: None,
                 paused_until: Time::ZERO,
+                gone_since: None,
             });
             let entry = self.targets.entry(view.target.clone()).or_insert(target);
             entry.update(view);
+            entry.gone_since = match entry.view.available {
+                true => None,
+                false => entry.gone_since.or(Some(now)),
+            };
         }
     }
 
--- a/crates/coriandercove_state/src/placement/plan.rs
+++ b/crates/coriandercove_state/src/placement/plan.rs
@@ -38,9 +38,7 @@
             self.blocked.remove(id);
             return;
         }
-        let loading = self
-            .available()
-            .any(|t| t.loads().is_some_and(|a| a.range == *id));
+        let loading = self.is_loading(now, id);
         if (loading || self.is_confirming(now)) && !self.faults.has(PlacementFault::LoadsTogether) {
             return;
         }
@@ -62,6 +60,16 @@
         self.order(now, fence, target, order);
     }
 
+    /// Whether some target loads the range. One that is silent for a short time only counts too,
+    /// because it goes on loading when it is heard again.
+    fn is_loading(&self, now: Time, id: &RangeId) -> bool {
+        let grace = self.cfg.order_timeout;
+        self.targets
+            .values()
+            .filter(|t| t.gone_since.is_none_or(|since| now < since + grace))
+            .any(|t| t.loads().is_some_and(|a| a.range == *id))
+    }
+
     /// Whether a target that has not confirmed may be loading by an order of an earlier holder.
     fn is_confirming(&self, now: Time) -> bool {
         now < self.since + self.cfg.confirm_grace && self.available().any(|t| !t.confirmed)
--- a/crates/coriandercove_state/tests/fuzz/placement.rs
+++ b/crates/coriandercove_state/tests/fuzz/placement.rs
@@ -448,6 +448,7 @@
         for range in &self.desired {
             let have = self.serving(&range.assignment, usize::MAX);
             let want = range.min_replicas as usize;
+            self.check_details(range);
             assert!(
                 have >= want,
                 "{:?} has {have} of {want} replicas",
@@ -457,6 +458,29 @@
     }
 }
 
+impl World {
+    /// Each replica has the adapters, and each role has its replicas.
+    fn check_details(&self, range: &DesiredRange) {
+        let serving: Vec<&TargetView> = self
+            .targets
+            .iter()
+            .map(|t| &t.view)
+            .filter(|v| v.holds.as_ref() == Some(&range.assignment))
+            .collect();
+        for view in &serving {
+            let all = range.adapters.iter().all(|a| view.adapters.contains(a));
+            assert!(all, "{} lacks adapters: {view:?}", view.target);
+        }
+        let wanted: u32 = range.roles.iter().map(|(_, n)| n).sum();
+        if serving.len() >= wanted as usize {
+            for (role, want) in &range.roles {
+                let have = serving.iter().filter(|v| v.role == *role).count();
+                assert!(have >= *want as usize, "{have} of {want} {role} replicas");
+            }
+        }
+    }
+}
+
 pub struct PlacementModel;
 
 impl ReferenceStateMachine for PlacementModel {
--- a/crates/coriandercove_state/tests/fuzz/regressions.rs
+++ b/crates/coriandercove_state/tests/fuzz/regressions.rs
@@ -1,1 +1,17 @@
-//! Cases that fuzz runs have found, or that they reach too rarely.
+//! Seeds with which fuzz runs have found faults, kept as tests.
+
+use crate::membership::MembershipTest;
+use crate::placement::PlacementTest;
+use crate::runner::check;
+
+/// An entry that was paused while a member died and was forgotten elsewhere listed it for ever.
+#[test]
+fn forgotten_member_is_given_up_everywhere() {
+    check::<MembershipTest>("membership", &[5_209_892_403_697_510_846], 24, 50);
+}
+
+/// A target that was silent for a short time while it loaded did not count as loading.
+#[test]
+fn briefly_silent_target_counts_as_loading() {
+    check::<PlacementTest>("placement", &[9_412_773_789_966_305_333], 64, 50);
+}
