--- a/crates/coriandercove_base/src/http.rs
+++ b/crates/coriandercove_base/src/http.rs
@@ -23,7 +23,8 @@
     pub timeout: Duration,
     /// Largest body of an answer, in bytes.
     pub max_body: usize,
-    /// Connections open at once for each kind of call; further calls wait.
+    /// Connections open at once to all peers together, counted apart for pooled and for fresh ones.
+    /// Further calls wait within their time.
     pub connections: usize,
 }
 
@@ -33,7 +34,7 @@
             connect_timeout: Duration::from_millis(500),
             timeout: Duration::from_secs(10),
             max_body: 16 << 20,
-            connections: 64,
+            connections: 256,
         }
     }
 }
--- a/crates/coriandercove_standin/tests/process.rs
+++ b/crates/coriandercove_standin/tests/process.rs
@@ -37,7 +37,7 @@
 #[test]
 fn impossible_options_end_the_program() {
     for args in [
-        ["engine", "--accelerator", "abacus"],
+        ["engine", "--accelerator", "x1"],
         ["engine", "--end-layer", "33"],
         ["vm-list", "--vm", "a,z"],
     ] {
--- a/crates/coriandercove_standin/tests/service.rs
+++ b/crates/coriandercove_standin/tests/service.rs
@@ -219,3 +219,28 @@
     );
     assert!(handle.effects().all().is_empty());
 }
+
+/// A call that is given up must free its place among the connections.
+#[actix_rt::test]
+async fn calls_that_time_out_do_not_use_up_the_connections() {
+    let (handle, _) = start();
+    let limits = HttpLimits {
+        connections: 2,
+        ..HttpLimits::default()
+    };
+    let client = HttpService::new(HttpClient::new(limits), &handle.url());
+    handle.faults().update(|f| f.frozen = true);
+    for i in 0..10 {
+        let mut call = booking("k");
+        call.once = i % 2 == 0;
+        call.timeout = Some(Duration::from_millis(5));
+        assert!(client.call(call).await.is_err());
+    }
+    handle.faults().update(|f| f.frozen = false);
+    for once in [true, false] {
+        let mut call = booking("later");
+        call.once = once;
+        let answer = client.call(call).await.expect("an answer");
+        assert_eq!(answer.status, 201);
+    }
+}
