Listen with a longer backlog in the stand-ins

The standard library listens with 128 places. A burst of calls on fresh connections overflows them, and a dropped SYN is sent again only after 1 s, longer than the connect timeout.

--- a/crates/coriandercove_standin/src/server.rs
+++ b/crates/coriandercove_standin/src/server.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -16,10 +16,14 @@
 use futures_util::future::LocalBoxFuture;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{Notify, oneshot};
 
 /// Largest request body, in bytes. It has room for the KV state of a long sequence.
 const MAX_BODY: usize = 64 << 20;
+/// Connections that may wait to be accepted. The 128 of the standard library are too few for bursts
+/// of calls on fresh connections: a dropped SYN is sent again only after 1 s.
+const BACKLOG: u32 = 4_096;
 /// Longer than the pools of clients keep idle connections, so that only faults close them.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// Period of the check whether requests are still in flight during a stop.
@@ -144,22 +148,27 @@
         name: &str,
         make: impl FnOnce() -> Rc<A> + Send + 'static,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(listen)?;
-        listener.set_nonblocking(true)?;
-        let addr = listener.local_addr()?;
         let (tx, rx) = oneshot::channel();
-        let (ready_tx, ready) = std::sync::mpsc::channel();
+        let (bound_tx, bound) = std::sync::mpsc::channel();
         let thread = std::thread::Builder::new()
             .name(name.to_owned())
             .spawn(move || {
-                let started = actix_rt::Runtime::new();
-                // The caller may be gone; then nobody needs the result.
-                let _ = ready_tx.send(started.as_ref().map(drop).map_err(io::Error::kind));
-                if let Ok(runtime) = started {
-                    runtime.block_on(run(listener, make, rx));
-                }
+                let runtime = match actix_rt::Runtime::new() {
+                    Ok(runtime) => runtime,
+                    Err(e) => return drop(bound_tx.send(Err(e))),
+                };
+                runtime.block_on(async {
+                    match bind(listen) {
+                        Ok((listener, addr)) => {
+                            // The caller may be gone; then the command is a kill.
+                            let _ = bound_tx.send(Ok(addr));
+                            run(listener, make, rx).await;
+                        }
+                        Err(e) => drop(bound_tx.send(Err(e))),
+                    }
+                });
             })?;
-        ready.recv().map_err(io::Error::other)??;
+        let addr = bound.recv().map_err(io::Error::other)??;
         Ok(Self {
             addr,
             command: Some(tx),
@@ -206,6 +215,19 @@
     }
 }
 
+fn bind(addr: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    // A stand-in that was killed takes its old address again.
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    let listener = socket.listen(BACKLOG)?;
+    let addr = listener.local_addr()?;
+    Ok((listener, addr))
+}
+
 /// Connections by the address of the peer, to close one without an answer.
 type Connections = Rc<RefCell<HashMap<SocketAddr, Rc<Notify>>>>;
 
@@ -243,9 +265,6 @@
 
 async fn accept<A: App>(listener: TcpListener, context: Rc<Context<A>>) {
     let connections = Rc::clone(&context.connections);
-    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
-        return;
-    };
     let serve = fn_service(move |req: Request| {
         let context = Rc::clone(&context);
         async move { Ok::<_, actix_http::Error>(context.serve(req).await) }
--- a/crates/coriandercove_standin/tests/service.rs
+++ b/crates/coriandercove_standin/tests/service.rs
@@ -244,3 +244,19 @@
         assert_eq!(answer.status, 201);
     }
 }
+
+/// A burst of fresh connections must not be dropped because the backlog is short.
+#[actix_rt::test]
+async fn a_burst_of_fresh_connections_is_accepted() {
+    let (handle, _) = start();
+    let limits = HttpLimits {
+        connections: 200,
+        ..HttpLimits::default()
+    };
+    let client = HttpService::new(HttpClient::new(limits), &handle.url());
+    let calls = (0..200).map(|i| client.call(booking(&format!("k{i}"))));
+    for result in futures_util::future::join_all(calls).await {
+        assert_eq!(result.expect("an answer").status, 201);
+    }
+    assert_eq!(handle.effects().all().len(), 200);
+}
