Refuse conflicts and changes that leave out a field

serde takes a missing Option for None, so the body {} of a conflict said that the object does not exist, and a change without a value was a deletion (found by tests/store_answers.rs). Both fields must be present, and statuses that do not belong to a call leave its outcome open.

--- a/crates/coriandercove_platform/src/http_store.rs
+++ b/crates/coriandercove_platform/src/http_store.rs
@@ -94,15 +94,15 @@
     let message = format!("status {}: {}", answer.status, answer.excerpt());
     match answer.status {
         404 if kind == Kind::Read => StoreError::NotFound,
-        409 => match serde_json::from_slice(&answer.body) {
+        409 if kind == Kind::Write => match serde_json::from_slice(&answer.body) {
             Ok(WireConflict { current }) => StoreError::Conflict { current },
             Err(e) => broken(kind, format!("refusal without the version: {e}")),
         },
-        410 => match serde_json::from_slice(&answer.body) {
+        410 if kind == Kind::Read => match serde_json::from_slice(&answer.body) {
             Ok(WireCompacted { oldest }) => StoreError::Compacted { oldest },
             Err(e) => broken(kind, format!("refusal without the revision: {e}")),
         },
-        413 => StoreError::TooLarge { limit: MAX_VALUE },
+        413 if kind == Kind::Write => StoreError::TooLarge { limit: MAX_VALUE },
         429 => StoreError::RateLimited {
             retry_after: retry_after(answer),
         },
--- a/crates/coriandercove_platform/src/protocol.rs
+++ b/crates/coriandercove_platform/src/protocol.rs
@@ -32,15 +32,16 @@
         Hex(String),
     }
 
-    /// An object in JSON; `value` is absent for a deleted object.
+    /// An object in JSON; `value` is `null` for a deleted object.
     #[derive(Eq)]
     pub struct WireObject {
         /// Name of the object.
         pub key: String,
         /// Version of the value.
         pub version: Version,
-        /// The value.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
+        /// The value. The field must be present, so that a deletion is never read out of a value that is
+        /// missing by mistake.
+        #[serde(deserialize_with = "Option::deserialize")]
         pub value: Option<WireValue>,
     }
 
@@ -67,7 +68,9 @@
     /// Body of a refusal because of another version.
     #[derive(Eq)]
     pub struct WireConflict {
-        /// Version of the object; `null` if it does not exist.
+        /// Version of the object; `null` if it does not exist. A body without the field is invalid,
+        /// since it would claim that the object does not exist.
+        #[serde(deserialize_with = "Option::deserialize")]
         pub current: Option<Version>,
     }
 
--- a/crates/coriandercove_platform/tests/decoders.rs
+++ b/crates/coriandercove_platform/tests/decoders.rs
@@ -87,3 +87,12 @@
     let body = format!(r#"{{"version":1,"vms":[{vm},{vm}]}}"#);
     assert!(decode_vms(body.as_bytes()).is_err());
 }
+
+#[test]
+fn a_change_without_a_value_is_no_deletion() {
+    let batch = |change| format!(r#"{{"revision":2,"changes":[{change}]}}"#);
+    let deleted = batch(r#"{"key":"a","version":2,"value":null}"#);
+    assert!(decode_batch(deleted.as_bytes()).is_ok());
+    let missing = batch(r#"{"key":"a","version":2}"#);
+    assert!(decode_batch(missing.as_bytes()).is_err());
+}
