--- a/crates/coriandercove_standin/tests/service.rs
+++ b/crates/coriandercove_standin/tests/service.rs
@@ -260,3 +260,34 @@
     }
     assert_eq!(handle.effects().all().len(), 200);
 }
+
+/// A stop must let the calls in flight finish, in contrast to a kill.
+#[actix_rt::test]
+async fn a_stop_finishes_the_calls_in_flight() {
+    for graceful in [true, false] {
+        let settings = ServiceSettings {
+            delay: Duration::ZERO,
+            answer_delay: Duration::from_millis(50),
+            ..ServiceSettings::default()
+        };
+        let handle = service::start(settings).expect("a free port");
+        let call = actix_rt::spawn(client(&handle.url()).call(booking("k")));
+        let effects = handle.effects().clone();
+        while effects.all().is_empty() {
+            actix_rt::task::yield_now().await;
+        }
+        let end = std::thread::spawn(move || {
+            if graceful {
+                handle.stop(Duration::from_secs(60));
+            } else {
+                handle.kill();
+            }
+        });
+        let result = call.await.expect("no panic");
+        end.join().expect("no panic");
+        if graceful {
+            assert_eq!(result.expect("an answer").status, 201);
+        }
+        assert_eq!(effects.count_key("k"), 1);
+    }
+}
--- a/crates/coriandercove_target/src/engine.rs
+++ b/crates/coriandercove_target/src/engine.rs
@@ -214,6 +214,10 @@
             let (got, want) = (self.outputs.len(), item.inputs.len());
             return Err(format!("{got} outputs for {want} inputs"));
         }
+        if self.cached as usize > item.inputs.len() {
+            let (got, most) = (self.cached, item.inputs.len());
+            return Err(format!("cached {got}: must be at most {most}"));
+        }
         if self.token.is_some() != item.sample {
             return Err("token missing or not asked for".to_owned());
         }
--- a/crates/coriandercove_target/tests/decoders.rs
+++ b/crates/coriandercove_target/tests/decoders.rs
@@ -141,6 +141,9 @@
     let mut absent = reply(&req);
     absent.items[0].token = None;
     assert!(decoded(&absent, &req).is_err());
+    let mut cached = reply(&req);
+    cached.items[0].cached = 3;
+    assert!(decoded(&cached, &req).is_err());
     let mut failed = reply(&req);
     failed.items[0].outputs.clear();
     failed.items[0].token = None;
