--- a/crates/coriandercove_standin/tests/service.rs
+++ b/crates/coriandercove_standin/tests/service.rs
@@ -219,3 +219,75 @@
     );
     assert!(handle.effects().all().is_empty());
 }
+
+/// A call that is given up must free its place among the connections.
+#[actix_rt::test]
+async fn calls_that_time_out_do_not_use_up_the_connections() {
+    let (handle, _) = start();
+    let limits = HttpLimits {
+        connections: 2,
+        ..HttpLimits::default()
+    };
+    let client = HttpService::new(HttpClient::new(limits), &handle.url());
+    handle.faults().update(|f| f.frozen = true);
+    for i in 0..10 {
+        let mut call = booking("k");
+        call.once = i % 2 == 0;
+        call.timeout = Some(Duration::from_millis(5));
+        assert!(client.call(call).await.is_err());
+    }
+    handle.faults().update(|f| f.frozen = false);
+    for once in [true, false] {
+        let mut call = booking("later");
+        call.once = once;
+        let answer = client.call(call).await.expect("an answer");
+        assert_eq!(answer.status, 201);
+    }
+}
+
+/// A burst of fresh connections must not be dropped because the backlog is short.
+#[actix_rt::test]
+async fn a_burst_of_fresh_connections_is_accepted() {
+    let (handle, _) = start();
+    let limits = HttpLimits {
+        connections: 200,
+        ..HttpLimits::default()
+    };
+    let client = HttpService::new(HttpClient::new(limits), &handle.url());
+    let calls = (0..200).map(|i| client.call(booking(&format!("k{i}"))));
+    for result in futures_util::future::join_all(calls).await {
+        assert_eq!(result.expect("an answer").status, 201);
+    }
+    assert_eq!(handle.effects().all().len(), 200);
+}
+
+/// A stop must let the calls in flight finish, in contrast to a kill.
+#[actix_rt::test]
+async fn a_stop_finishes_the_calls_in_flight() {
+    for graceful in [true, false] {
+        let settings = ServiceSettings {
+            delay: Duration::ZERO,
+            answer_delay: Duration::from_millis(50),
+            ..ServiceSettings::default()
+        };
+        let handle = service::start(settings).expect("a free port");
+        let call = actix_rt::spawn(client(&handle.url()).call(booking("k")));
+        let effects = handle.effects().clone();
+        while effects.all().is_empty() {
+            actix_rt::task::yield_now().await;
+        }
+        let end = std::thread::spawn(move || {
+            if graceful {
+                handle.stop(Duration::from_secs(60));
+            } else {
+                handle.kill();
+            }
+        });
+        let result = call.await.expect("no panic");
+        end.join().expect("no panic");
+        if graceful {
+            assert_eq!(result.expect("an answer").status, 201);
+        }
+        assert_eq!(effects.count_key("k"), 1);
+    }
+}
