Apply changes object by object, cache object hashes and carry objects in binary frames

At the planned size each accepted change made every node decode and hash 22,406 objects. Config::apply decodes only the changed ones, and the digest combines kept hashes; link keys use ~ because zone names may hold hyphens, and postcard cannot read JSON values, so binary forms carry JSON text.

--- a/crates/coriandercove_config/src/answers/generate.rs
+++ b/crates/coriandercove_config/src/answers/generate.rs
@@ -90,7 +90,7 @@
                 (_, true) => (&network.between_zones, "network.between_zones"),
                 _ => (&network.between_regions, "network.between_regions"),
             };
-            origins.add(format!("link/{a}--{b}"), path.to_owned());
+            origins.add(format!("link/{a}~{b}"), path.to_owned());
             config.links.push(link(a, b, quality));
         }
     }
@@ -104,7 +104,7 @@
             delay: special.delay,
             bytes_per_second: special.bytes_per_second,
         };
-        origins.add(format!("link/{a}--{b}"), format!("network.links[{i}]"));
+        origins.add(format!("link/{a}~{b}"), format!("network.links[{i}]"));
         config.links.retain(|l| l.a != *a || l.b != *b);
         config.links.push(link(a, b, &quality));
     }
--- a/crates/coriandercove_config/src/config/check.rs
+++ b/crates/coriandercove_config/src/config/check.rs
@@ -100,10 +100,7 @@
     fn duplicates(&mut self, config: &Config) {
         self.twice("site", config.sites.iter().map(|x| x.name.clone()));
         self.twice("zone", config.zones.iter().map(|x| x.name.to_string()));
-        self.twice(
-            "link",
-            config.links.iter().map(|x| format!("{}--{}", x.a, x.b)),
-        );
+        self.twice("link", config.links.iter().map(|x| x.name()));
         self.twice(
             "pipeline",
             config.pipelines.iter().map(|x| x.model.to_string()),
--- a/crates/coriandercove_config/src/config/check/places.rs
+++ b/crates/coriandercove_config/src/config/check/places.rs
@@ -25,7 +25,7 @@
     }
 
     pub(super) fn link(&mut self, config: &Config, link: &Link) {
-        let key = format!("link/{}--{}", link.a, link.b);
+        let key = format!("link/{}", link.name());
         let zones = config.zone_names();
         self.known(format!("{key}.a"), "zone", &link.a, &zones);
         self.known(format!("{key}.b"), "zone", &link.b, &zones);
--- a/crates/coriandercove_config/src/config/codec.rs
+++ b/crates/coriandercove_config/src/config/codec.rs
@@ -4,8 +4,10 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use super::{Config, Placement};
-use crate::objects::Objects;
+use super::{
+    Account, Claims, Config, Limits, Link, Pipeline, Placement, Service, Site, Target, Zone,
+};
+use crate::objects::{Delta, Objects};
 use crate::problem::{Problem, Problems, split_expected};
 
 /// Place that errors in objects name.
@@ -13,38 +15,101 @@
 /// Kinds of objects, for error messages.
 const KINDS: &str =
     "site, zone, link, pipeline, service, account, target, placement, limits, claims";
-/// Name of the only object of a kind.
-const SINGLE: &str = "all";
+/// Keys of the two kinds that have one object each.
+const LIMITS: &str = "limits/all";
+const CLAIMS: &str = "claims/all";
+
+/// A kind of object of which there may be many.
+trait Item: Serialize + DeserializeOwned {
+    const KIND: &'static str;
+
+    fn name(&self) -> String;
+
+    /// The list of the kind. It is sorted by [`Item::cmp`].
+    fn list(config: &mut Config) -> &mut Vec<Self>;
+
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering;
+
+    fn key(&self) -> String {
+        format!("{}/{}", Self::KIND, self.name())
+    }
+}
+
+/// Implements [`Item`] for a type that is sorted by one field.
+macro_rules! item {
+    ($type:ty, $kind:literal, $list:ident, $name:ident) => {
+        impl Item for $type {
+            const KIND: &'static str = $kind;
+
+            fn name(&self) -> String {
+                self.$name.to_string()
+            }
+
+            fn list(config: &mut Config) -> &mut Vec<Self> {
+                &mut config.$list
+            }
+
+            fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+                self.$name.cmp(&other.$name)
+            }
+        }
+    };
+}
+
+item!(Site, "site", sites, name);
+item!(Zone, "zone", zones, name);
+item!(Pipeline, "pipeline", pipelines, model);
+item!(Service, "service", services, name);
+item!(Account, "account", accounts, name);
+item!(Target, "target", targets, id);
+
+impl Item for Link {
+    const KIND: &'static str = "link";
+
+    fn name(&self) -> String {
+        Self::name(self)
+    }
+
+    fn list(config: &mut Config) -> &mut Vec<Self> {
+        &mut config.links
+    }
+
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (&self.a, &self.b).cmp(&(&other.a, &other.b))
+    }
+}
+
+impl Item for Placement {
+    const KIND: &'static str = "placement";
+
+    fn name(&self) -> String {
+        Self::name(self)
+    }
+
+    fn list(config: &mut Config) -> &mut Vec<Self> {
+        &mut config.placements
+    }
+
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        Self::name(self).cmp(&Self::name(other))
+    }
+}
 
 impl Config {
     /// The configuration as objects with keys `kind/name`.
     #[must_use]
     pub fn to_objects(&self) -> Objects {
         let mut out = Objects::new();
-        put(&mut out, "site", &self.sites, |x| x.name.clone());
-        put(&mut out, "zone", &self.zones, |x| x.name.to_string());
-        put(&mut out, "link", &self.links, |x| {
-            format!("{}--{}", x.a, x.b)
-        });
-        put(&mut out, "pipeline", &self.pipelines, |x| {
-            x.model.to_string()
-        });
-        put(&mut out, "service", &self.services, |x| x.name.clone());
-        put(&mut out, "account", &self.accounts, |x| x.name.to_string());
-        put(&mut out, "target", &self.targets, |x| x.id.to_string());
-        put(&mut out, "placement", &self.placements, Placement::name);
-        put(
-            &mut out,
-            "limits",
-            std::slice::from_ref(&self.limits),
-            |_| SINGLE.to_owned(),
-        );
-        put(
-            &mut out,
-            "claims",
-            std::slice::from_ref(&self.claims),
-            |_| SINGLE.to_owned(),
-        );
+        put(&mut out, &self.sites);
+        put(&mut out, &self.zones);
+        put(&mut out, &self.links);
+        put(&mut out, &self.pipelines);
+        put(&mut out, &self.services);
+        put(&mut out, &self.accounts);
+        put(&mut out, &self.targets);
+        put(&mut out, &self.placements);
+        out.insert(LIMITS.to_owned(), to_value(&self.limits));
+        out.insert(CLAIMS.to_owned(), to_value(&self.claims));
         out
     }
 
@@ -56,59 +121,111 @@
         let mut config = Self::default();
         let mut problems = Problems::default();
         for (key, value) in objects.iter() {
-            if let Err(problem) = config.add(key, value) {
-                problems.0.push(problem);
-            }
+            problems.0.extend(config.put(key, value, Mode::Push).err());
         }
-        if problems.0.is_empty() {
-            config.sort();
-            check_keys(&config, objects, &mut problems);
+        config.sort();
+        problems.or(config)
+    }
+
+    /// The configuration after a change. Only the objects of the change are decoded, because every
+    /// node applies thousands of changes a day.
+    ///
+    /// # Errors
+    /// Every object that cannot be read, with its key and the path of the field.
+    pub fn apply(&self, delta: &Delta) -> Result<Self, Problems> {
+        let mut config = self.clone();
+        let mut problems = Problems::default();
+        for key in &delta.remove {
+            problems.0.extend(config.remove(key).err());
+        }
+        for (key, value) in delta.put.iter() {
+            problems
+                .0
+                .extend(config.put(key, value, Mode::Replace).err());
         }
         problems.or(config)
     }
 
-    fn add(&mut self, key: &str, value: &Value) -> Result<(), Problem> {
-        let kind = key.split('/').next().unwrap_or_default();
-        match kind {
-            "site" => self.sites.push(decode(key, value)?),
-            "zone" => self.zones.push(decode(key, value)?),
-            "link" => self.links.push(decode(key, value)?),
-            "pipeline" => self.pipelines.push(decode(key, value)?),
-            "service" => self.services.push(decode(key, value)?),
-            "account" => self.accounts.push(decode(key, value)?),
-            "target" => self.targets.push(decode(key, value)?),
-            "placement" => self.placements.push(decode(key, value)?),
-            "limits" => self.limits = decode(key, value)?,
-            "claims" => self.claims = decode(key, value)?,
-            _ => return Err(problem(key, format!("unknown kind `{kind}`"), KINDS)),
+    fn put(&mut self, key: &str, value: &Value, mode: Mode) -> Result<(), Problem> {
+        match key.split('/').next().unwrap_or_default() {
+            "site" => self.put_item::<Site>(key, value, mode),
+            "zone" => self.put_item::<Zone>(key, value, mode),
+            "link" => self.put_item::<Link>(key, value, mode),
+            "pipeline" => self.put_item::<Pipeline>(key, value, mode),
+            "service" => self.put_item::<Service>(key, value, mode),
+            "account" => self.put_item::<Account>(key, value, mode),
+            "target" => self.put_item::<Target>(key, value, mode),
+            "placement" => self.put_item::<Placement>(key, value, mode),
+            _ if key == LIMITS => decode(key, value).map(|limits: Limits| self.limits = limits),
+            _ if key == CLAIMS => decode(key, value).map(|claims: Claims| self.claims = claims),
+            kind => Err(unknown(key, kind)),
+        }
+    }
+
+    fn put_item<T: Item>(&mut self, key: &str, value: &Value, mode: Mode) -> Result<(), Problem> {
+        let item: T = decode(key, value)?;
+        // Otherwise two objects could have the same name.
+        if item.key() != key {
+            let text = "the key does not match the name inside the object".to_owned();
+            return Err(problem(key, text, &format!("the key `{}`", item.key())));
+        }
+        let list = T::list(self);
+        match mode {
+            Mode::Push => list.push(item),
+            Mode::Replace => match list.binary_search_by(|x| x.cmp(&item)) {
+                Ok(i) => list[i] = item,
+                Err(i) => list.insert(i, item),
+            },
+        }
+        Ok(())
+    }
+
+    fn remove(&mut self, key: &str) -> Result<(), Problem> {
+        match key.split('/').next().unwrap_or_default() {
+            "site" => self.remove_item::<Site>(key),
+            "zone" => self.remove_item::<Zone>(key),
+            "link" => self.remove_item::<Link>(key),
+            "pipeline" => self.remove_item::<Pipeline>(key),
+            "service" => self.remove_item::<Service>(key),
+            "account" => self.remove_item::<Account>(key),
+            "target" => self.remove_item::<Target>(key),
+            "placement" => self.remove_item::<Placement>(key),
+            _ if key == LIMITS => self.limits = Limits::default(),
+            _ if key == CLAIMS => self.claims = Claims::default(),
+            kind => return Err(unknown(key, kind)),
         }
         Ok(())
     }
-}
 
-/// Every object must lie at the key that its content gives, otherwise two objects could share a name.
-fn check_keys(config: &Config, objects: &Objects, problems: &mut Problems) {
-    let expected = config.to_objects();
-    for (key, _) in objects
-        .iter()
-        .filter(|(key, _)| expected.get(key).is_none())
-    {
-        problems.0.push(problem(
-            key,
-            "the key does not match the name inside the object".to_owned(),
-            "`kind/name` with the object's own name",
-        ));
+    /// Removals are rare, so a linear search over the list is sufficient.
+    fn remove_item<T: Item>(&mut self, key: &str) {
+        let Some((_, name)) = key.split_once('/') else {
+            return;
+        };
+        T::list(self).retain(|x| x.name() != name);
     }
 }
 
-fn put<T: Serialize>(out: &mut Objects, kind: &str, items: &[T], name: impl Fn(&T) -> String) {
+/// How an item gets into its list.
+#[derive(Clone, Copy)]
+enum Mode {
+    /// At the end; the list is sorted later.
+    Push,
+    /// At its place in a sorted list.
+    Replace,
+}
+
+fn put<T: Item>(out: &mut Objects, items: &[T]) {
     for item in items {
-        // Plain data with text keys always has a JSON form.
-        let value = serde_json::to_value(item).unwrap_or_default();
-        out.insert(format!("{kind}/{}", name(item)), value);
+        out.insert(item.key(), to_value(item));
     }
 }
 
+fn to_value(item: &impl Serialize) -> Value {
+    // Plain data with text keys always has a JSON form.
+    serde_json::to_value(item).unwrap_or_default()
+}
+
 fn decode<T: DeserializeOwned>(key: &str, value: &Value) -> Result<T, Problem> {
     serde_path_to_error::deserialize(value).map_err(|e| {
         let path = e.path().to_string();
@@ -125,6 +242,10 @@
     })
 }
 
+fn unknown(key: &str, kind: &str) -> Problem {
+    problem(key, format!("unknown kind `{kind}`"), KINDS)
+}
+
 fn problem(key: &str, problem: String, allowed: &str) -> Problem {
     Problem {
         file: PLACE.to_owned(),
--- a/crates/coriandercove_config/src/config/site.rs
+++ b/crates/coriandercove_config/src/config/site.rs
@@ -40,3 +40,11 @@
         pub bytes_per_second: u64,
     }
 }
+
+impl Link {
+    /// Name of the link. `~` cannot be part of a zone's name, so that no two links share a name.
+    #[must_use]
+    pub fn name(&self) -> String {
+        format!("{}~{}", self.a, self.b)
+    }
+}
--- a/crates/coriandercove_config/src/config/tests.rs
+++ b/crates/coriandercove_config/src/config/tests.rs
@@ -146,3 +146,48 @@
     other.priority = u8::MAX;
     assert_eq!(other.request_priority(late), 99);
 }
+
+/// Guards against a change that gives another configuration than a restart with all objects.
+#[test]
+fn applying_a_change_equals_reading_all_objects() {
+    let (old, mut new) = (config(), config());
+    new.accounts[0].weight = 7;
+    new.targets.remove(1);
+    new.placements[0].targets.pop();
+    new.links.clear();
+    new.limits.weight_loads = 9;
+    let mut zone = new.zones[0].clone();
+    zone.name = "a-zone".into();
+    new.zones.insert(0, zone);
+    let delta = old.to_objects().delta(&new.to_objects());
+    assert_eq!(old.apply(&delta), Ok(new.clone()));
+    let back = new.to_objects().delta(&old.to_objects());
+    assert_eq!(new.apply(&back), Ok(old.clone()));
+    let all = Objects::new().delta(&old.to_objects());
+    assert_eq!(Config::default().apply(&all), Ok(old.clone()));
+    let none = old.to_objects().delta(&Objects::new());
+    assert_eq!(old.apply(&none), Ok(Config::default()));
+}
+
+/// Guards against two links that share a key, because zone names may contain hyphens.
+#[test]
+fn links_of_zones_with_hyphens_have_different_keys() {
+    let mut config = config();
+    let link = |a: &str, b: &str| super::Link {
+        a: a.into(),
+        b: b.into(),
+        delay: std::time::Duration::ZERO,
+        bytes_per_second: 1000,
+    };
+    config.links = vec![link("a", "b--c"), link("a--b", "c")];
+    let objects = config.to_objects();
+    assert_eq!(Config::from_objects(&objects).unwrap().links.len(), 2);
+}
+
+/// Guards against a typed configuration that JSON carries and postcard does not.
+#[test]
+fn the_configuration_has_a_binary_form() {
+    let config = config();
+    let bytes = postcard::to_stdvec(&config).unwrap();
+    assert_eq!(postcard::from_bytes::<Config>(&bytes).unwrap(), config);
+}
--- a/crates/coriandercove_config/src/objects.rs
+++ b/crates/coriandercove_config/src/objects.rs
@@ -3,21 +3,39 @@
 use std::collections::BTreeMap;
 
 use coriandercove_base::data;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use serde_json::Value;
 
 use crate::keys::hex;
 
-data! {
-    /// A set of objects by key, in key order. A key is `kind/name`.
-    ///
-    /// A B-tree instead of a sorted vector, because the planned size has some 20,000 objects
-    /// and every accepted change inserts into the set.
-    #[derive(Default, Eq)]
-    #[serde(transparent)]
-    pub struct Objects {
-        map: BTreeMap<String, Value>,
+/// A set of objects by key, in key order. A key is `kind/name`.
+///
+/// A B-tree instead of a sorted vector, because the planned size has some 20,000 objects
+/// and every accepted change inserts into the set.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Objects {
+    map: BTreeMap<String, Object>,
+}
+
+/// A value and its hash, so that the digest of the set after a change costs no walk over all values.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Object {
+    value: Value,
+    /// BLAKE3 hash of `value`.
+    hash: [u8; 32],
+}
+
+impl Object {
+    fn new(value: Value) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hash_value(&mut hasher, &value);
+        let hash = *hasher.finalize().as_bytes();
+        Self { value, hash }
     }
+}
 
+data! {
     /// What one accepted version changes.
     #[derive(Default, Eq)]
     #[serde(deny_unknown_fields)]
@@ -43,22 +61,23 @@
     /// The object at `key`.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<&Value> {
-        self.map.get(key)
+        self.map.get(key).map(|o| &o.value)
     }
 
     /// Sets an object and returns the one it replaces.
     pub fn insert(&mut self, key: String, value: Value) -> Option<Value> {
-        self.map.insert(key, value)
+        let old = self.map.insert(key, Object::new(value));
+        old.map(|o| o.value)
     }
 
     /// Removes an object and returns it.
     pub fn remove(&mut self, key: &str) -> Option<Value> {
-        self.map.remove(key)
+        self.map.remove(key).map(|o| o.value)
     }
 
     /// All objects in key order.
     pub fn iter(&self) -> impl DoubleEndedIterator<Item = (&str, &Value)> {
-        self.map.iter().map(|(k, v)| (k.as_str(), v))
+        self.map.iter().map(|(k, o)| (k.as_str(), &o.value))
     }
 
     /// Number of objects.
@@ -76,10 +95,12 @@
     /// The change that turns this set into `new`.
     #[must_use]
     pub fn delta(&self, new: &Self) -> Delta {
-        let put = new.iter().filter(|(k, v)| self.get(k) != Some(v));
+        let put = new.map.iter().filter(|(k, o)| self.map.get(*k) != Some(o));
         let remove = self.map.keys().filter(|k| !new.map.contains_key(*k));
         Delta {
-            put: put.map(|(k, v)| (k.to_owned(), v.clone())).collect(),
+            put: Self {
+                map: put.map(|(k, o)| (k.clone(), o.clone())).collect(),
+            },
             remove: remove.cloned().collect(),
         }
     }
@@ -89,8 +110,8 @@
         for key in &delta.remove {
             self.map.remove(key);
         }
-        for (key, value) in delta.put.iter() {
-            self.map.insert(key.to_owned(), value.clone());
+        for (key, object) in &delta.put.map {
+            self.map.insert(key.clone(), object.clone());
         }
     }
 
@@ -100,9 +121,9 @@
     #[must_use]
     pub fn digest(&self) -> String {
         let mut hasher = blake3::Hasher::new();
-        for (key, value) in &self.map {
+        for (key, object) in &self.map {
             hash_text(&mut hasher, key);
-            hash_value(&mut hasher, value);
+            hasher.update(&object.hash);
         }
         hex(hasher.finalize().as_bytes())
     }
@@ -111,7 +132,7 @@
     #[must_use]
     pub fn to_json(&self) -> String {
         // A map with text keys always has a JSON form.
-        let mut text = serde_json::to_string_pretty(&self.map).unwrap_or_default();
+        let mut text = serde_json::to_string_pretty(self).unwrap_or_default();
         text.push('\n');
         text
     }
@@ -120,17 +141,44 @@
 impl FromIterator<(String, Value)> for Objects {
     fn from_iter<I: IntoIterator<Item = (String, Value)>>(iter: I) -> Self {
         Self {
-            map: iter.into_iter().collect(),
+            map: iter.into_iter().map(|(k, v)| (k, Object::new(v))).collect(),
+        }
+    }
+}
+
+/// Binary formats such as postcard carry each value as JSON text, because they cannot read a value
+/// whose type is not known beforehand.
+impl Serialize for Objects {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        if s.is_human_readable() {
+            return s.collect_map(self.iter());
+        }
+        s.collect_map(self.iter().map(|(k, v)| (k, v.to_string())))
+    }
+}
+
+impl<'de> Deserialize<'de> for Objects {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        if d.is_human_readable() {
+            let map = BTreeMap::<String, Value>::deserialize(d)?;
+            return Ok(map.into_iter().collect());
         }
+        let map = BTreeMap::<String, String>::deserialize(d)?;
+        let parse = |(key, text): (String, String)| match serde_json::from_str(&text) {
+            Ok(value) => Ok((key, value)),
+            Err(e) => Err(D::Error::custom(format!("object {key}: {e}"))),
+        };
+        map.into_iter().map(parse).collect()
     }
 }
 
 impl IntoIterator for Objects {
     type Item = (String, Value);
-    type IntoIter = std::collections::btree_map::IntoIter<String, Value>;
+    type IntoIter = std::vec::IntoIter<(String, Value)>;
 
     fn into_iter(self) -> Self::IntoIter {
-        self.map.into_iter()
+        let items = self.map.into_iter().map(|(k, o)| (k, o.value));
+        items.collect::<Vec<_>>().into_iter()
     }
 }
 
--- a/crates/coriandercove_config/src/objects/tests.rs
+++ b/crates/coriandercove_config/src/objects/tests.rs
@@ -49,3 +49,45 @@
         assert_ne!(a.digest(), c.digest(), "{other}");
     }
 }
+
+/// Guards against a digest that a change leaves behind, since hashes are kept beside the values.
+#[test]
+fn the_digest_follows_every_change() {
+    let a = objects(&[("a/1", json!({"x": 1}))]);
+    let mut b = objects(&[("a/1", json!({"x": 2})), ("a/2", json!({}))]);
+    b.apply(&b.delta(&a));
+    assert_eq!(a.digest(), b.digest());
+    b.insert("a/1".to_owned(), json!({"x": 3}));
+    assert_ne!(a.digest(), b.digest());
+    b.insert("a/1".to_owned(), json!({"x": 1}));
+    assert_eq!(a.digest(), b.digest());
+    let read: Objects = serde_json::from_str(&b.to_json()).unwrap();
+    assert_eq!((read.digest(), &read), (a.digest(), &a));
+}
+
+/// Guards against a digest that changes between versions of the program, which would make nodes
+/// of two versions disagree about the same configuration.
+#[test]
+fn the_digest_is_stable_across_versions() {
+    let a = objects(&[("zone/z", json!({"name": "z", "list": [1, true, null, "t"]}))]);
+    assert_eq!(
+        a.digest(),
+        "e67b99c3283cf507cbc400ef717dd67ffe59dad30014c55f0303dabc8b701d84"
+    );
+}
+
+/// Guards against changes that cannot be sent between processes, whose frames are postcard.
+#[test]
+fn changes_travel_in_binary_form() {
+    let old = objects(&[("a/1", json!({"x": 1})), ("a/2", json!(null))]);
+    let new = objects(&[("a/1", json!({"x": [1.5, "t", {"y": null}]}))]);
+    let delta = old.delta(&new);
+    let bytes = postcard::to_stdvec(&delta).unwrap();
+    assert_eq!(postcard::from_bytes::<super::Delta>(&bytes).unwrap(), delta);
+    for end in 0..bytes.len() {
+        assert!(
+            postcard::from_bytes::<super::Delta>(&bytes[..end]).is_err(),
+            "{end}"
+        );
+    }
+}
--- a/crates/coriandercove_config/tests/fuzz.rs
+++ b/crates/coriandercove_config/tests/fuzz.rs
@@ -199,6 +199,9 @@
                 assert!(problems.0.iter().all(|p| !p.key.is_empty()), "{problems}");
             }
         }
+        let base = Config::from_objects(&objects).expect("the template is valid");
+        let step = base.apply(&objects.delta(&changed));
+        assert_eq!(step.ok(), Config::from_objects(&changed).ok());
         let mut applied = objects.clone();
         applied.apply(&objects.delta(&changed));
         assert_eq!(applied.digest(), changed.digest());
--- a/crates/coriandercove_config/tests/scale.rs
+++ b/crates/coriandercove_config/tests/scale.rs
@@ -81,6 +81,12 @@
     let mut objects = coriandercove_config::Objects::new();
     timed("to objects", &mut || objects = config.to_objects());
     timed("from objects", &mut || drop(Config::from_objects(&objects)));
+    let mut changed = objects.clone();
+    let mut account = changed.remove("account/a7").unwrap_or_default();
+    account["weight"] = 2.into();
+    changed.insert("account/a7".to_owned(), account);
+    let delta = objects.delta(&changed);
+    timed("apply a change", &mut || drop(config.apply(&delta)));
     timed("check", &mut || drop(config.check()));
     timed("digest", &mut || drop(objects.digest()));
     timed("clone", &mut || drop(objects.clone()));
