Add builders of settings and a check of settings without secrets

Processes started in one program need settings without a file, and operators check settings on machines that lack the secret files.

--- a/crates/coriandercove_cli/src/commands/check.rs
+++ b/crates/coriandercove_cli/src/commands/check.rs
@@ -1,7 +1,7 @@
 //! `coriandercove check`.
 
 use coriandercove_config::Problems;
-use coriandercove_config::settings::{CLUSTER_KEY_ENV, Loader, OPERATOR_TOKEN_ENV};
+use coriandercove_config::settings::Loader;
 use serde_json::json;
 
 use super::files;
@@ -17,12 +17,13 @@
     for path in &args.config {
         collect(files::config(path).map(drop), &mut problems)?;
     }
+    // The secrets lie on the VM where the process will run, not here.
     for path in &args.entry {
-        let loaded = loader().file(path).entry();
+        let loaded = Loader::new().file(path).entry_without_secrets();
         collect(loaded.map(drop).map_err(CliError::from), &mut problems)?;
     }
     for path in &args.agent {
-        let loaded = loader().file(path).agent();
+        let loaded = Loader::new().file(path).agent_without_secrets();
         collect(loaded.map(drop).map_err(CliError::from), &mut problems)?;
     }
     problems.or(())?;
@@ -32,12 +33,6 @@
     Ok(Exit::Success)
 }
 
-/// Settings are checked without the secrets of the VM where the process will run.
-fn loader() -> Loader {
-    let unused = [CLUSTER_KEY_ENV, OPERATOR_TOKEN_ENV].map(|n| (n.to_owned(), "x".repeat(16)));
-    Loader::new().env(unused)
-}
-
 /// Problems are collected over all files; other errors end the command.
 fn collect(result: Result<(), CliError>, problems: &mut Problems) -> Result<(), CliError> {
     match result {
--- a/crates/coriandercove_cli/tests/cli.rs
+++ b/crates/coriandercove_cli/tests/cli.rs
@@ -146,6 +146,23 @@
     }
 }
 
+/// Guards against a check of settings that needs the secrets of another VM.
+#[test]
+fn settings_are_checked_without_secrets() {
+    let dir = tempfile::tempdir().unwrap();
+    let answers = example("hyotan");
+    let mut text = ok(&[
+        "settings",
+        "entry",
+        "--answers",
+        &answers,
+        "--node",
+        "entry-1",
+    ]);
+    text.push_str("cluster_key_file: /nonexistent/on/this/machine\n");
+    ok(&["check", "--entry", &file(&dir, "e.yaml", &text)]);
+}
+
 /// Guards against wrong commands with a wrong exit code or without a remedy.
 #[test]
 fn wrong_commands_name_place_and_remedy() {
--- a/crates/coriandercove_config/src/answers/processes.rs
+++ b/crates/coriandercove_config/src/answers/processes.rs
@@ -2,14 +2,9 @@
 
 use std::net::SocketAddr;
 
-use coriandercove_base::telemetry::LogFormat;
-
 use super::generate::{nth_address, target_address, target_id};
 use super::{Answers, EntryAnswer, MAX_TARGETS, TargetGroup};
-use crate::settings::{
-    AgentLimits, AgentSettings, DRAIN_DEADLINE, EntryLimits, EntrySettings, TargetRole,
-    TargetSettings,
-};
+use crate::settings::{AgentSettings, EntrySettings};
 
 /// Settings of every entry, in the order of the answers.
 #[must_use]
@@ -41,57 +36,38 @@
 }
 
 fn entry(answers: &Answers, e: &EntryAnswer) -> EntrySettings {
-    EntrySettings {
-        node: e.node.clone(),
-        zone: e.zone.clone(),
-        region: region(answers, &e.zone),
-        callers: e.callers,
-        operations: e.operations,
-        peer: e.peer,
-        advertise: None,
-        seeds: seeds(answers)
-            .into_iter()
-            .filter(|s| *s != e.peer)
-            .collect(),
-        store: answers.platform.store.clone(),
-        vm_list: answers.platform.vm_list.clone(),
-        cluster_key_file: None,
-        operator_token_file: None,
-        log: LogFormat::default(),
-        drain_deadline: DRAIN_DEADLINE,
-        limits: EntryLimits::default(),
-    }
+    let others = seeds(answers).into_iter().filter(|s| *s != e.peer);
+    let mut settings = EntrySettings::builder(
+        e.node.clone(),
+        e.zone.clone(),
+        [e.callers, e.operations, e.peer],
+    )
+    .region(&region(answers, &e.zone))
+    .seeds(others.collect())
+    .store(answers.platform.store.clone())
+    .build();
+    settings.vm_list.clone_from(&answers.platform.vm_list);
+    settings
 }
 
 fn agent(answers: &Answers, group: &TargetGroup, n: u32) -> AgentSettings {
     let peer = nth_address(group, n);
-    let id = target_id(group, n);
-    let kind = if group.service.is_some() {
-        TargetRole::Service
-    } else {
-        TargetRole::Engine
-    };
-    AgentSettings {
-        node: id.clone(),
-        zone: group.zone.clone(),
-        region: region(answers, &group.zone),
-        peer,
-        advertise: None,
-        operations: SocketAddr::new(peer.ip(), peer.port().saturating_add(1)),
-        target_id: id,
-        target: TargetSettings {
-            kind,
-            url: format!("http://{}", target_address(group, n)),
-            service: group.service.clone(),
-            checks_orders: group.checks_orders,
-        },
-        seeds: seeds(answers),
-        store: answers.platform.store.clone(),
-        vm_list: answers.platform.vm_list.clone(),
-        cluster_key_file: None,
-        operator_token_file: None,
-        log: LogFormat::default(),
-        drain_deadline: DRAIN_DEADLINE,
-        limits: AgentLimits::default(),
+    let operations = SocketAddr::new(peer.ip(), peer.port().saturating_add(1));
+    let url = format!("http://{}", target_address(group, n));
+    let mut builder = AgentSettings::builder(
+        target_id(group, n),
+        group.zone.clone(),
+        [operations, peer],
+        &url,
+    )
+    .region(&region(answers, &group.zone))
+    .seeds(seeds(answers))
+    .store(answers.platform.store.clone())
+    .checks_orders(group.checks_orders);
+    if let Some(service) = &group.service {
+        builder = builder.service(service);
     }
+    let mut settings = builder.build();
+    settings.vm_list.clone_from(&answers.platform.vm_list);
+    settings
 }
--- a/crates/coriandercove_config/src/settings.rs
+++ b/crates/coriandercove_config/src/settings.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod args;
+mod builder;
 mod check;
 mod common;
 mod entry;
@@ -9,6 +10,7 @@
 
 pub use agent::{AgentLimits, AgentSettings, TargetRole, TargetSettings};
 pub use args::{AgentArgs, CommonArgs, EntryArgs, Startup, process_env};
+pub use builder::{AgentSettingsBuilder, EntrySettingsBuilder};
 pub use common::{CLUSTER_KEY_ENV, DRAIN_DEADLINE, OPERATOR_TOKEN_ENV, Secrets};
 pub use entry::{EntryLimits, EntrySettings};
 pub use load::{AGENT_KEYS, ENTRY_KEYS, Loader, SettingKey};
--- a/crates/coriandercove_config/src/settings/load.rs
+++ b/crates/coriandercove_config/src/settings/load.rs
@@ -8,7 +8,7 @@
 use serde_norway::Value;
 
 use super::check::Findings;
-use super::common::Secrets;
+use super::common::{SecretError, Secrets};
 use super::{AGENT_DEFAULTS, AgentSettings, ENTRY_DEFAULTS, EntrySettings};
 use crate::problem::{Problem, Problems};
 use crate::yaml::Document;
@@ -164,9 +164,11 @@
     /// # Errors
     /// Every problem, with file and line, flag or variable.
     pub fn entry(self) -> Result<(EntrySettings, Secrets), Problems> {
-        self.load(&ENTRY_KEYS, &ENTRY_TEMPLATE, EntrySettings::findings, |s| {
-            (s.cluster_key_file.clone(), s.operator_token_file.clone())
-        })
+        let (settings, document, problems) =
+            self.load(&ENTRY_KEYS, &ENTRY_TEMPLATE, EntrySettings::findings)?;
+        let (a, b) = (&settings.cluster_key_file, &settings.operator_token_file);
+        let secrets = self.secrets(a.as_deref(), b.as_deref(), &document);
+        finish(settings, secrets, problems)
     }
 
     /// Settings and secrets of an agent.
@@ -174,48 +176,69 @@
     /// # Errors
     /// Every problem, with file and line, flag or variable.
     pub fn agent(self) -> Result<(AgentSettings, Secrets), Problems> {
-        self.load(&AGENT_KEYS, &AGENT_TEMPLATE, AgentSettings::findings, |s| {
-            (s.cluster_key_file.clone(), s.operator_token_file.clone())
-        })
+        let (settings, document, problems) =
+            self.load(&AGENT_KEYS, &AGENT_TEMPLATE, AgentSettings::findings)?;
+        let (a, b) = (&settings.cluster_key_file, &settings.operator_token_file);
+        let secrets = self.secrets(a.as_deref(), b.as_deref(), &document);
+        finish(settings, secrets, problems)
+    }
+
+    /// Settings of an entry, to be checked where its secrets are not at hand.
+    ///
+    /// # Errors
+    /// Every problem, with file and line, flag or variable.
+    pub fn entry_without_secrets(self) -> Result<EntrySettings, Problems> {
+        let (settings, _, problems) =
+            self.load(&ENTRY_KEYS, &ENTRY_TEMPLATE, EntrySettings::findings)?;
+        problems.or(settings)
+    }
+
+    /// Settings of an agent, to be checked where its secrets are not at hand.
+    ///
+    /// # Errors
+    /// Every problem, with file and line, flag or variable.
+    pub fn agent_without_secrets(self) -> Result<AgentSettings, Problems> {
+        let (settings, _, problems) =
+            self.load(&AGENT_KEYS, &AGENT_TEMPLATE, AgentSettings::findings)?;
+        problems.or(settings)
     }
 
+    /// Decodes and checks. The settings are usable only if there are no problems.
     fn load<T: DeserializeOwned>(
-        self,
+        &self,
         keys: &[SettingKey],
         template: &Value,
         check: impl Fn(&T) -> Findings,
-        files: impl Fn(&T) -> (Option<PathBuf>, Option<PathBuf>),
-    ) -> Result<(T, Secrets), Problems> {
+    ) -> Result<(T, Document, Problems), Problems> {
         let document = self.document(keys)?;
         let mut decoded = document.decode::<T>(template);
         let mut problems = std::mem::take(&mut decoded.problems);
         problems.0.extend(self.unknown_variables());
-        let Some(settings) = &decoded.value else {
+        let Some(settings) = decoded.value.take() else {
             problems.0.sort();
             return Err(problems);
         };
-        for f in check(settings).0 {
+        for f in check(&settings).0 {
             if !decoded.was_replaced(&f.key) {
                 problems
                     .0
                     .push(document.problem(&f.key, f.problem, &f.allowed));
             }
         }
-        let (cluster, operator) = files(settings);
+        Ok((settings, document, problems))
+    }
+
+    fn secrets(
+        &self,
+        cluster_key: Option<&Path>,
+        operator_token: Option<&Path>,
+        document: &Document,
+    ) -> Result<Secrets, Problems> {
         let env = |name: &str| self.env.get(name).cloned();
-        let secrets = Secrets::read_with(cluster.as_deref(), operator.as_deref(), env);
-        match (secrets, decoded.value) {
-            (Ok(secrets), Some(settings)) => problems.or((settings, secrets)),
-            (secrets, _) => {
-                for e in secrets.err().unwrap_or_default() {
-                    problems
-                        .0
-                        .push(document.problem(e.key, e.problem, &e.allowed));
-                }
-                problems.0.sort();
-                Err(problems)
-            }
-        }
+        Secrets::read_with(cluster_key, operator_token, env).map_err(|errors| {
+            let problem = |e: SecretError| document.problem(e.key, e.problem, &e.allowed);
+            Problems(errors.into_iter().map(problem).collect())
+        })
     }
 
     fn document(&self, keys: &[SettingKey]) -> Result<Document, Problems> {
@@ -261,6 +284,21 @@
     }
 }
 
+fn finish<T>(
+    settings: T,
+    secrets: Result<Secrets, Problems>,
+    mut problems: Problems,
+) -> Result<(T, Secrets), Problems> {
+    match secrets {
+        Ok(secrets) => problems.or((settings, secrets)),
+        Err(more) => {
+            problems.0.extend(more.0);
+            problems.0.sort();
+            Err(problems)
+        }
+    }
+}
+
 fn read(path: &Path) -> Result<String, Problems> {
     std::fs::read_to_string(path).map_err(|e| {
         Problems(vec![Problem {
