Add the load generator and the first scenarios of the bench

The load generator sends streamed completions in an open loop (Poisson) or a closed loop, compares every answer with the oracle and keeps latencies in HDR histograms. Local plans can slow their engine stand-ins down and give the configuration the costs of accelerators.

--- /dev/null
+++ b/crates/coriandercove_bench/src/scenario.rs
@@ -0,0 +1,209 @@
+//! The scenarios and what they have in common.
+
+mod failures;
+mod models;
+mod steady;
+
+use std::time::Duration;
+
+use coriandercove_local::{Deployment, DeploymentError, Plan};
+use serde_json::Value;
+use snafu::Snafu;
+
+use crate::load::record::Window;
+use crate::load::{Aim, Arrivals, Load};
+use crate::profile::Profile;
+
+/// A run that could not be carried out.
+#[derive(Debug, Snafu)]
+pub enum BenchError {
+    /// The deployment did not start.
+    #[snafu(transparent)]
+    Deployment {
+        /// Cause.
+        source: DeploymentError,
+    },
+    /// The system gave no thread.
+    #[snafu(display("cannot start a load thread: {source}"), context(false))]
+    Thread {
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// What a scenario is run with.
+#[derive(Debug, Clone, Copy)]
+pub struct Context {
+    /// Deployment and load.
+    pub profile: Profile,
+    /// Seed of the load, the stand-ins and the entries' choices.
+    pub seed: u64,
+    /// Time in which figures are counted.
+    pub duration: Duration,
+    /// Entries of models without a deployment.
+    pub nodes: usize,
+    /// Targets of models without a deployment.
+    pub targets: usize,
+}
+
+/// Result of a scenario.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outcome {
+    /// What was measured.
+    pub figures: Value,
+    /// The goal, in words.
+    pub target: String,
+    /// Whether the figures reach the goal.
+    pub pass: bool,
+}
+
+type Run = fn(&Context) -> Result<Outcome, BenchError>;
+
+/// A named measurement.
+#[derive(Debug)]
+pub struct Scenario {
+    /// Name for the command line.
+    pub name: &'static str,
+    /// What it measures.
+    pub about: &'static str,
+    /// Profile that its goal belongs to.
+    pub profile: Profile,
+    run: Run,
+}
+
+impl Scenario {
+    /// Runs the scenario.
+    ///
+    /// # Errors
+    /// [`BenchError`] if the run could not be carried out.
+    pub fn run(&self, cx: &Context) -> Result<Outcome, BenchError> {
+        (self.run)(cx)
+    }
+}
+
+/// Time before the figures are counted. Slots, connections and estimates settle in it.
+const WARM_UP: Duration = Duration::from_secs(3);
+
+const fn scenario(name: &'static str, profile: Profile, run: Run, about: &'static str) -> Scenario {
+    Scenario {
+        name,
+        about,
+        profile,
+        run,
+    }
+}
+
+/// All scenarios.
+pub const SCENARIOS: &[Scenario] = &[
+    scenario(
+        "throughput",
+        Profile::Hyotan,
+        steady::throughput,
+        "share of the bound at saturation",
+    ),
+    scenario(
+        "overhead",
+        Profile::Hyotan,
+        steady::overhead,
+        "time added to direct calls of the engines at half load",
+    ),
+    scenario(
+        "latency",
+        Profile::Hyotan,
+        steady::latency,
+        "first token and gaps at 0.8 of the bound",
+    ),
+    scenario(
+        "overload",
+        Profile::Hyotan,
+        steady::overload,
+        "goodput at 2 and 5 times the bound",
+    ),
+    scenario(
+        "fairness",
+        Profile::Hyotan,
+        steady::fairness,
+        "a small account beside a large one at 10 times its load",
+    ),
+    scenario(
+        "mixed-accelerators",
+        Profile::Hyotan,
+        steady::mixed_accelerators,
+        "saturation with and without the accelerators' costs in the configuration",
+    ),
+    scenario(
+        "stage-loss",
+        Profile::Brandstatter,
+        failures::stage_loss,
+        "stalls when VMs with a stage die one after the other",
+    ),
+    scenario(
+        "target-loss",
+        Profile::Brandstatter,
+        failures::target_loss,
+        "stalls when engines die and their agents live",
+    ),
+    scenario(
+        "engine-freeze",
+        Profile::Brandstatter,
+        failures::engine_freeze,
+        "stalls when engines stop answering for 3 s",
+    ),
+    scenario(
+        "zone-loss",
+        Profile::Brandstatter,
+        failures::zone_loss,
+        "stalls when all targets of a zone die at once",
+    ),
+    scenario(
+        "drain",
+        Profile::Brandstatter,
+        failures::drain,
+        "work and cut streams of a leaving target",
+    ),
+    scenario(
+        "shuffle",
+        Profile::Hyotan,
+        models::shuffle,
+        "model of shuffle shards at 30 and 3,300 replicas",
+    ),
+    scenario(
+        "control",
+        Profile::Hyotan,
+        models::control,
+        "control traffic for `--nodes` entries and `--targets` agents",
+    ),
+];
+
+impl Context {
+    fn window(&self) -> Window {
+        Window {
+            from: WARM_UP,
+            to: WARM_UP + self.duration,
+        }
+    }
+
+    /// The profile's load on a deployment.
+    fn load(&self, deployment: &Deployment, arrivals: Arrivals) -> Load {
+        Load {
+            aim: Aim::of(deployment),
+            shape: self.profile.shape(),
+            arrivals,
+            window: self.window(),
+            seed: self.seed,
+        }
+    }
+}
+
+/// Sequences that all entries together take at once: those of the layer range with the fewest
+/// replicas.
+fn slots(plan: &Plan) -> usize {
+    let replicas = |first| {
+        plan.engines
+            .iter()
+            .filter(|e| e.first_layer == first)
+            .count()
+    };
+    let fewest = plan.engines.iter().map(|e| replicas(e.first_layer)).min();
+    fewest.unwrap_or(0) * plan.concurrency as usize
+}
--- a/crates/coriandercove_local/src/deployment.rs
+++ b/crates/coriandercove_local/src/deployment.rs
@@ -6,7 +6,7 @@
 use coriandercove_config::keys::generate_key;
 use coriandercove_config::{Account, Config, Placement, Site, Target, TargetKind, Zone};
 use coriandercove_peer::{Address, ClusterKey, PeerInfo, Role as PeerRole};
-use coriandercove_standin::engine::{self, CostModel, EngineSettings};
+use coriandercove_standin::engine;
 use coriandercove_standin::service::{self, Effects, ServiceSettings};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -100,7 +100,7 @@
     /// [`DeploymentError`] if a part does not start.
     pub fn add_engine(&mut self, engine: &EnginePlan) -> Result<NodeId, DeploymentError> {
         let name = self.next_name("engine");
-        let settings = engine_settings(&self.plan, engine, self.started as u64);
+        let settings = self.plan.engine_settings(engine, self.started as u64);
         let handle = engine::start(settings).context(StartStandinSnafu { name: &*name })?;
         let info = self.start_agent(&name, &engine.zone, Standin::Engine(handle))?;
         let kind = TargetKind::Engine {
@@ -258,21 +258,6 @@
     }
 }
 
-fn engine_settings(plan: &Plan, engine: &EnginePlan, seed: u64) -> EngineSettings {
-    let mut settings = EngineSettings::new(
-        &plan.model,
-        engine.first_layer,
-        engine.end_layer,
-        plan.layers,
-    );
-    settings.info.accelerator.clone_from(&engine.accelerator);
-    if let Some(cost) = CostModel::for_accelerator(&engine.accelerator) {
-        settings.cost = cost;
-    }
-    settings.seed = seed;
-    settings
-}
-
 fn base_config(plan: &Plan) -> Config {
     let mut zones: Vec<ZoneId> = plan.engines.iter().map(|e| e.zone.clone()).collect();
     zones.sort();
--- a/crates/coriandercove_local/src/lib.rs
+++ b/crates/coriandercove_local/src/lib.rs
@@ -7,9 +7,11 @@
 mod entry;
 mod plan;
 mod role;
+mod tuning;
 
 pub use agent::{AgentRole, Standin};
 pub use deployment::{Deployment, DeploymentError};
 pub use entry::EntryRole;
 pub use plan::{EnginePlan, Plan};
 pub use role::{Role, RoleError};
+pub use tuning::EngineTuning;
--- a/crates/coriandercove_local/src/plan.rs
+++ b/crates/coriandercove_local/src/plan.rs
@@ -5,6 +5,8 @@
 use coriandercove_base::{Layer, ModelId, ZoneId};
 use coriandercove_config::{Pipeline, Repeat, Rule, Service};
 
+use crate::tuning::EngineTuning;
+
 /// One engine of a plan.
 #[derive(Debug, Clone)]
 pub struct EnginePlan {
@@ -39,6 +41,8 @@
     pub concurrency: u32,
     /// Seed of the choices of stand-ins and entries.
     pub seed: u64,
+    /// Settings of the engine stand-ins that differ from the defaults.
+    pub tuning: EngineTuning,
 }
 
 impl Plan {
@@ -66,6 +70,7 @@
             first_port: 0,
             concurrency: 64,
             seed: 1,
+            tuning: EngineTuning::default(),
         }
     }
 
@@ -83,7 +88,7 @@
             token_deadline: Duration::from_millis(60),
             request_deadline: Duration::from_secs(120),
             priority: 4,
-            compute: Vec::new(),
+            compute: self.compute(),
         }
     }
 
