Encode a shard's segment once for each write

A write measured the size of all claims of the segment by encoding each one, and merged all of them again after the answer. The size now comes from the encoding itself, and only the changed claims are merged.

--- a/crates/coriandercove_state/src/claim/index.rs
+++ b/crates/coriandercove_state/src/claim/index.rs
@@ -13,6 +13,8 @@
     pub number: u64,
     pub version: Version,
     pub segment: Segment,
+    /// Size of the encoded segment.
+    pub bytes: usize,
     /// When this version was first seen, by the own monotonic clock.
     pub since: Time,
 }
@@ -73,6 +75,14 @@
         self.active = Some(active);
     }
 
+    /// Takes in an own write to the active segment, of which only `changed` is new.
+    pub fn update_active(&mut self, active: Active, changed: Vec<Claim>) {
+        for claim in changed {
+            self.claims.insert(claim.key, claim);
+        }
+        self.active = Some(active);
+    }
+
     /// Takes in a sealed segment. Segments may arrive in any order, so the claims are merged
     /// anew with the next [`View::rebuild`].
     pub fn set_sealed(&mut self, number: u64, sealed: Sealed) {
--- a/crates/coriandercove_state/src/claim/load.rs
+++ b/crates/coriandercove_state/src/claim/load.rs
@@ -114,18 +114,20 @@
         self.stray.retain(|n, _| is_listed(n));
     }
 
-    /// Takes in a segment that was read, or `None` if it does not exist any more.
+    /// Takes in a segment that was read, with its size, or `None` if it does not exist any more.
     pub fn on_get(
         &mut self,
         view: &mut View,
         now: Time,
         number: u64,
-        found: Option<(Version, Segment)>,
+        found: Option<(Version, usize, Segment)>,
     ) {
         self.missing.retain(|n| *n != number);
         match found {
             None => {}
-            Some((version, segment)) if segment.sealed && !fault::is_on(Fault::WriteToSealed) => {
+            Some((version, _, segment))
+                if segment.sealed && !fault::is_on(Fault::WriteToSealed) =>
+            {
                 let sealed = Sealed {
                     version,
                     segment,
@@ -133,19 +135,20 @@
                 };
                 view.set_sealed(number, sealed);
             }
-            Some((version, _)) if number < self.highest => {
+            Some((version, ..)) if number < self.highest => {
                 // Its successor exists, so the segment had been sealed and was deleted since.
                 self.stray.insert(number, version);
                 if view.active.as_ref().is_some_and(|a| a.number == number) {
                     view.drop_active();
                 }
             }
-            Some((version, segment)) => {
+            Some((version, bytes, segment)) => {
                 self.active_read = true;
                 view.set_active(Active {
                     number,
                     version,
                     segment,
+                    bytes,
                     since: now,
                 });
             }
--- a/crates/coriandercove_state/src/claim/reply.rs
+++ b/crates/coriandercove_state/src/claim/reply.rs
@@ -7,7 +7,7 @@
 use super::ChangeResult;
 use super::index::{Active, Sealed};
 use super::segment::{self, Segment};
-use super::shard::{Op, Shard, ShardAction, Waiting, may_fail, settled};
+use super::shard::{Op, Shard, ShardAction, Waiting, Write, may_fail, settled};
 use crate::fault::{self, Fault};
 use crate::store_call::{StoreReply, Version};
 
@@ -23,7 +23,7 @@
         let is_read = matches!(op, Op::List | Op::Get(_));
         let mut failed = reply == StoreReply::Unavailable || (is_read && reply == StoreReply::Lost);
         let mut actions = match op {
-            Op::Write { segment, batch } => self.on_write(now, segment, batch, &reply),
+            Op::Write(write) => self.on_write(now, write, &reply),
             op => {
                 failed |= !self.on_other(now, op, reply);
                 Vec::new()
@@ -46,7 +46,7 @@
             (Op::Get(number), StoreReply::Value { version, value }) => {
                 match Segment::decode(&value) {
                     Ok(segment) => {
-                        let found = Some((version, segment));
+                        let found = Some((version, value.len(), segment));
                         self.loader.on_get(&mut self.view, now, number, found);
                     }
                     // Nothing is known of the claims in it, so the shard stays unloaded.
@@ -67,6 +67,7 @@
                     number,
                     version,
                     segment,
+                    bytes: 0,
                     since: now,
                 };
                 self.loader.trust_created(&mut self.view, active);
@@ -116,46 +117,36 @@
         self.loader.restart(&self.view);
     }
 
-    fn on_write(
-        &mut self,
-        now: Time,
-        segment: Segment,
-        batch: Vec<Waiting>,
-        reply: &StoreReply,
-    ) -> Vec<ShardAction> {
+    fn on_write(&mut self, now: Time, write: Write, reply: &StoreReply) -> Vec<ShardAction> {
         match reply {
-            StoreReply::Written(version) => self.on_written(now, *version, segment, &batch),
-            StoreReply::Unavailable => self.requeue(batch),
+            StoreReply::Written(version) => self.on_written(now, *version, write),
+            StoreReply::Unavailable => self.requeue(write.batch),
             StoreReply::Conflict | StoreReply::Absent if fault::is_on(Fault::IgnoreConflict) => {
                 self.loader.restart(&self.view);
-                settle_all(&batch, &ChangeResult::Written)
+                settle_all(&write.batch, &ChangeResult::Written)
             }
             StoreReply::Conflict | StoreReply::Absent => {
                 // If the request was doubled on its way, its first copy may have taken effect
                 // and the second one met the result. Reading back tells, as for a lost answer.
                 self.conflicts += 1;
-                self.mark_unsettled(batch)
+                self.mark_unsettled(write.batch)
             }
-            _ => self.on_write_lost(batch),
+            _ => self.on_write_lost(write.batch),
         }
     }
 
-    fn on_written(
-        &mut self,
-        now: Time,
-        version: Version,
-        segment: Segment,
-        batch: &[Waiting],
-    ) -> Vec<ShardAction> {
+    fn on_written(&mut self, now: Time, version: Version, write: Write) -> Vec<ShardAction> {
         if let Some((number, _)) = self.view.position() {
-            self.view.set_active(Active {
+            let active = Active {
                 number,
                 version,
-                segment,
+                segment: write.segment,
+                bytes: write.bytes,
                 since: now,
-            });
+            };
+            self.view.update_active(active, write.changed);
         }
-        settle_all(batch, &ChangeResult::Written)
+        settle_all(&write.batch, &ChangeResult::Written)
     }
 
     /// The write may have taken effect, or may still do so as long as the segment keeps its
--- a/crates/coriandercove_state/src/claim/shard.rs
+++ b/crates/coriandercove_state/src/claim/shard.rs
@@ -13,7 +13,7 @@
 use crate::fault::{self, Fault};
 use crate::store_call::{StoreCall, Version};
 
-/// Room for the parts of a segment besides its claims, in bytes.
+/// Room that is kept free in a segment for longer lengths and ids of its encoding, in bytes.
 const SEGMENT_OVERHEAD: usize = 64;
 /// Least time between two looks for old segments, so that many entries that look for them
 /// take few of the store's writes.
@@ -84,15 +84,22 @@
     pub unsettled: Option<(u64, Version)>,
 }
 
+/// A write of the active segment under way.
+#[derive(Debug, Default)]
+pub(super) struct Write {
+    pub segment: Segment,
+    pub bytes: usize,
+    pub batch: Vec<Waiting>,
+    /// The claims that the batch adds or changes.
+    pub changed: Vec<Claim>,
+}
+
 #[derive(Debug)]
 pub(super) enum Op {
     List,
     Get(u64),
     Create(u64),
-    Write {
-        segment: Segment,
-        batch: Vec<Waiting>,
-    },
+    Write(Write),
     Seal(Segment),
     Delete(u64),
     DeleteStray(u64),
@@ -223,7 +230,7 @@
     }
 
     fn is_in_flight(&self, tag: u128) -> bool {
-        matches!(&self.op, Some(Op::Write { batch, .. }) if batch.iter().any(|w| w.tag == tag))
+        matches!(&self.op, Some(Op::Write(write)) if write.batch.iter().any(|w| w.tag == tag))
     }
 
     /// Reads the claims that other entries wrote. Returns the number of this refresh, which
@@ -335,17 +342,22 @@
             self.loader.restart(&self.view);
             return;
         };
-        let mut segment = active.segment;
-        let (batch, is_full) = self.take_batch(&mut segment, actions);
-        if batch.is_empty() {
+        let mut write = Write {
+            segment: active.segment,
+            bytes: active.bytes,
+            ..Write::default()
+        };
+        let is_full = self.take_batch(&mut write, actions);
+        if write.batch.is_empty() {
             if is_full {
                 actions.extend(self.seal());
             }
             return;
         }
-        segment.write_id = random_id(&mut self.rng);
+        write.segment.write_id = random_id(&mut self.rng);
         self.last_write = Some(now);
-        let Ok(value) = segment.encode() else {
+        let batch = &write.batch;
+        let Ok(value) = write.segment.encode() else {
             // Only a claim larger than a whole segment gets here.
             actions.extend(
                 batch
@@ -354,6 +366,7 @@
             );
             return;
         };
+        write.bytes = value.len();
         actions.push(ShardAction::Store(StoreCall::PutIf {
             name: segment::name_of(&self.settings.prefix, active.number),
             version: active.version,
@@ -362,23 +375,19 @@
         if fault::is_on(Fault::DispatchBeforeDurable) {
             actions.extend(batch.iter().map(|w| settled(w.tag, ChangeResult::Written)));
         }
-        self.op = Some(Op::Write { segment, batch });
+        self.op = Some(Op::Write(write));
     }
 
-    /// Takes the changes for the next write out of the queue and applies them to `segment`.
-    /// Changes that need no write are settled. Also tells whether a change did not fit.
-    fn take_batch(
-        &mut self,
-        segment: &mut Segment,
-        actions: &mut Vec<ShardAction>,
-    ) -> (Vec<Waiting>, bool) {
+    /// Takes the changes for the next write out of the queue and applies them to its segment.
+    /// Changes that need no write are settled. Returns whether a change did not fit.
+    fn take_batch(&mut self, write: &mut Write, actions: &mut Vec<ShardAction>) -> bool {
         let limit = self.settings.segment_bytes.min(MAX_SEGMENT_BYTES);
-        let mut bytes = SEGMENT_OVERHEAD + segment.claims.iter().map(size_of_claim).sum::<usize>();
-        let is_empty = segment.claims.is_empty();
+        let limit = limit.saturating_sub(SEGMENT_OVERHEAD);
+        let is_empty = write.segment.claims.is_empty();
         let position = self.view.position();
         let mut keys = HashSet::new();
+        let mut rest = VecDeque::new();
         let mut is_full = false;
-        let (mut batch, mut rest) = (Vec::new(), VecDeque::new());
         for mut waiting in std::mem::take(&mut self.queue) {
             if waiting.unsettled != position {
                 // The segment has changed since, so that write can no longer take effect.
@@ -394,12 +403,12 @@
                     actions.push(settled(waiting.tag, ChangeResult::Refused(claim)));
                 }
                 Verdict::Write(claim) => {
-                    let size = size_of_claim(&claim);
-                    let fits = bytes + size <= limit || (is_empty && batch.is_empty());
-                    if fits {
-                        bytes += size;
-                        segment.set(claim);
-                        batch.push(waiting);
+                    let bytes = write.bytes + size_of_claim(&claim);
+                    if bytes <= limit || (is_empty && write.batch.is_empty()) {
+                        write.bytes = bytes;
+                        write.segment.set(claim.clone());
+                        write.changed.push(claim);
+                        write.batch.push(waiting);
                     } else {
                         is_full = true;
                         rest.push_back(waiting);
@@ -408,7 +417,7 @@
             }
         }
         self.queue = rest;
-        (batch, is_full)
+        is_full
     }
 
     fn seal(&mut self) -> Option<ShardAction> {
