--- a/crates/coriandercove_state/src/membership/gossip.rs
+++ b/crates/coriandercove_state/src/membership/gossip.rs
@@ -246,16 +246,16 @@
         }
     }
 
-    /// Asks a peer whose table differs for the differing buckets, once rumours had time to
-    /// arrive.
+    /// Asks a peer whose table differs for the differing buckets, at most every 5 s.
     fn compare(&mut self, now: Time, from: SocketAddr, key: MemberKey, summary: u32) {
         if summary == self.table.summary() {
             self.differs_since = None;
             return;
         }
         let since = *self.differs_since.get_or_insert(now);
-        let rumours = self.table.members.values().any(|m| m.hot > 0);
-        if rumours || now < since + self.cfg.heartbeat * 2 || now < self.next_query {
+        // Nothing else delays a query: digests of entries that agree arrive all the time where
+        // half of them lag, and tables that differ may keep changing until they agree.
+        if now < self.next_query {
             return;
         }
         self.next_query = now + self.cfg.heartbeat * 5;
--- a/crates/coriandercove_state/src/membership/heartbeat.rs
+++ b/crates/coriandercove_state/src/membership/heartbeat.rs
@@ -4,7 +4,7 @@
 use super::event::{MemberEvent, MembershipAction};
 use super::message::{Ack, Heartbeat, Message};
 use super::observers::observers_hash;
-use super::record::{Liveness, MemberInfo, MemberKey, MemberRecord, Merge, member_key};
+use super::record::{Liveness, MemberInfo, MemberKey, MemberRecord, member_key};
 use coriandercove_base::{ConfigVersion, Time};
 use std::net::SocketAddr;
 
@@ -273,26 +273,27 @@
             return;
         }
         let known = (r.incarnation, r.beat, r.liveness);
-        if s.incarnation < r.incarnation || s.beat < r.beat && s.liveness != r.liveness {
+        if s.incarnation < r.incarnation {
             self.counters.stale_records += 1;
-            let info = s.incarnation < r.incarnation;
-            self.heat(s.key, info);
+            self.heat(s.key, true);
             return;
         }
         if s.detail_version > r.info.detail_version {
             self.missing.entry(s.key).or_insert(now);
         }
+        // The sender lags, so the news it missed is told again.
+        let old_info = s.detail_version < r.info.detail_version;
+        let old_state = s.beat < r.beat && s.liveness != r.liveness;
         let merge = r.merge_state((s.beat, s.liveness), s.leaving, faults);
         let revived = known.2 != Liveness::Alive && r.liveness == Liveness::Alive;
         if revived && member.observed.is_some() {
             member.patience = (member.patience * 2).min(8);
         }
-        let merge = if merge == Merge::Nothing {
-            merge
-        } else {
-            Merge::State
-        };
         self.merged(now, s.key, (known.0, known.2), merge);
+        if old_info || old_state {
+            self.counters.stale_records += u64::from(old_state);
+            self.heat(s.key, old_info);
+        }
     }
 }
 
--- a/crates/coriandercove_state/tests/fuzz/regressions.rs
+++ b/crates/coriandercove_state/tests/fuzz/regressions.rs
@@ -15,3 +15,9 @@
 fn briefly_silent_target_counts_as_loading() {
     check::<PlacementTest>("placement", &[9_412_773_789_966_305_333], 64, 50);
 }
+
+/// Where half of the entries lagged, none asked the others for what it missed.
+#[test]
+fn lagging_entries_ask_for_what_they_miss() {
+    check::<MembershipTest>("membership", &[2_475_886_015_378_278_461], 24, 50);
+}
