--- a/crates/coriandercove_config/src/settings/load.rs
+++ b/crates/coriandercove_config/src/settings/load.rs
@@ -113,7 +113,9 @@
 }
 
 /// Reads settings. Flags win over environment variables, and both win over the file.
-#[derive(Debug, Default, Clone)]
+///
+/// It has no `Debug`, because the environment may hold secrets.
+#[derive(Default, Clone)]
 pub struct Loader {
     file: Option<PathBuf>,
     text: Option<(String, String)>,
@@ -254,9 +256,9 @@
             }
         }
         for (name, text) in &self.flags {
-            if let Some(key) = keys.iter().find(|k| k.key == name) {
-                document.set(key.key, &key.flag(), key.value(text));
-            }
+            let key = keys.iter().find(|k| k.key == name);
+            let key = key.ok_or_else(|| unknown_flag(name, keys))?;
+            document.set(key.key, &key.flag(), key.value(text));
         }
         Ok(document)
     }
@@ -284,6 +286,17 @@
     }
 }
 
+fn unknown_flag(name: &str, keys: &[SettingKey]) -> Problems {
+    let known: Vec<String> = keys.iter().map(SettingKey::flag).collect();
+    Problems(vec![Problem {
+        file: name.to_owned(),
+        line: 0,
+        key: String::new(),
+        problem: "no flag gives this setting".to_owned(),
+        allowed: known.join(", "),
+    }])
+}
+
 fn finish<T>(
     settings: T,
     secrets: Result<Secrets, Problems>,
--- a/crates/coriandercove_config/src/settings/tests.rs
+++ b/crates/coriandercove_config/src/settings/tests.rs
@@ -142,3 +142,16 @@
     assert!(secrets.cluster_key.matches("the-key-in-the-file"));
     assert!(!secrets.cluster_key.matches("another"));
 }
+
+/// Guards against a flag that is dropped without a word because the program does not pass it on.
+#[test]
+fn flags_of_the_other_program_are_refused() {
+    let loader = Loader::new()
+        .env(secrets())
+        .text("entry.yaml", ENTRY_DEFAULTS);
+    let problems = loader
+        .flag("target.url", "http://127.0.0.1:1")
+        .entry()
+        .unwrap_err();
+    assert!(problems.to_string().contains("--callers"), "{problems}");
+}
