--- a/crates/coriandercove_cli/tests/cli.rs
+++ b/crates/coriandercove_cli/tests/cli.rs
@@ -280,7 +280,11 @@
             "cannot reach http://127.0.0.1:1/drain",
         ),
         (3, vec!["check", "--answers", &wrong], "accounts[0].weight"),
-        (3, vec!["generate", "--answers", &wrong], "(allowed: u32)"),
+        (
+            3,
+            vec!["generate", "--answers", &wrong],
+            "(allowed: a whole number from 0 to 4294967295)",
+        ),
         (3, vec!["check", "--config", &config], "c.json:"),
         (3, vec!["check", "--config", &other], "zone/z.site"),
         (3, vec!["check", "--entry", &wrong], "unknown key `trade`"),
--- a/crates/coriandercove_config/src/problem.rs
+++ b/crates/coriandercove_config/src/problem.rs
@@ -75,7 +75,27 @@
         .replace("unknown field", "unknown key")
         .replace("missing field", "missing key");
     match message.split_once(", expected ") {
-        Some((problem, expected)) => (problem.to_owned(), expected.to_owned()),
+        Some((problem, expected)) => (problem.to_owned(), in_words(expected)),
         None => (message, String::new()),
     }
 }
+
+/// Says what serde expects without the names of Rust types, which users do not know.
+fn in_words(expected: &str) -> String {
+    let number = |max: u64| format!("a whole number from 0 to {max}");
+    match expected {
+        "u8" => number(u8::MAX.into()),
+        "u16" => number(u16::MAX.into()),
+        "u32" => number(u32::MAX.into()),
+        "u64" => "a whole number from 0".to_owned(),
+        "a string" | "string" | "string or map" => "text".to_owned(),
+        "a boolean" => "true or false".to_owned(),
+        "a sequence" => "a list".to_owned(),
+        "socket address" => "an IP address and a port, such as 10.0.0.5:7400".to_owned(),
+        other if other.starts_with("struct ") => "a map of keys".to_owned(),
+        other => other.to_owned(),
+    }
+}
+
+#[cfg(test)]
+mod tests;
