--- a/crates/coriandercove_cli/tests/cli.rs
+++ b/crates/coriandercove_cli/tests/cli.rs
@@ -280,7 +280,11 @@
             "cannot reach http://127.0.0.1:1/drain",
         ),
         (3, vec!["check", "--answers", &wrong], "accounts[0].weight"),
-        (3, vec!["generate", "--answers", &wrong], "(allowed: u32)"),
+        (
+            3,
+            vec!["generate", "--answers", &wrong],
+            "(allowed: a whole number from 0 to 4294967295)",
+        ),
         (3, vec!["check", "--config", &config], "c.json:"),
         (3, vec!["check", "--config", &other], "zone/z.site"),
         (3, vec!["check", "--entry", &wrong], "unknown key `trade`"),
@@ -309,7 +313,7 @@
     let output = run(&["check", "--answers", &wrong, "--output", "json"]);
     let error: serde_json::Value = serde_json::from_str(&stderr(&output)).unwrap();
     assert_eq!(error["problems"][0]["key"], "accounts[0].weight");
-    assert_eq!(error["problems"][0]["line"], 40);
+    assert_eq!(error["problems"][0]["line"], 41);
     let output = run(&["check", "--answers", "/nonexistent", "--output", "json"]);
     let error: serde_json::Value = serde_json::from_str(&stderr(&output)).unwrap();
     assert!(error["error"].as_str().unwrap().contains("/nonexistent"));
