--- a/crates/coriandercove_state/tests/claims/runner.rs
+++ b/crates/coriandercove_state/tests/claims/runner.rs
@@ -89,7 +89,8 @@
 }
 
 /// Runs the test from `seeds` fixed seeds, or as the environment says, and fails with a
-/// shrunk sequence of steps. Everything in `reached` must have been tallied.
+/// shrunk sequence of steps. The fixed seeds must
+/// have tallied everything in `reached`.
 pub fn check<T: StateMachineTest>(name: &str, seeds: u64, steps: usize, reached: &[&str]) {
     fault::set(None);
     let number = |name| std::env::var(name).ok().and_then(|v| v.parse::<u64>().ok());
