--- a/crates/coriandercove_state/src/membership/entry.rs
+++ b/crates/coriandercove_state/src/membership/entry.rs
@@ -358,9 +358,11 @@
         if merge == Merge::Nothing {
             return;
         }
-        if before != after || member.record.leaving {
-            self.observers_old |= member.record.info.role == Role::Entry;
-        }
+        // Agents matter to the choice of observers as far as they take room.
+        let entry = member.record.info.role == Role::Entry;
+        let listed = |(incarnation, liveness)| incarnation > 0 && liveness != Liveness::Dead;
+        let changed = before != after || member.record.leaving;
+        self.observers_old |= (entry && changed) || listed(before) != listed(after);
         self.heat(key, merge == Merge::Info);
         self.show(key);
     }
--- a/crates/coriandercove_state/tests/fuzz/regressions.rs
+++ b/crates/coriandercove_state/tests/fuzz/regressions.rs
@@ -21,3 +21,10 @@
 fn lagging_entries_ask_for_what_they_miss() {
     check::<MembershipTest>("membership", &[2_475_886_015_378_278_461], 24, 50);
 }
+
+/// Entries chose observers by an old count of members, and suspected agents that sent their
+/// heartbeats elsewhere.
+#[test]
+fn observers_follow_dead_agents() {
+    check::<MembershipTest>("membership", &[17_945_893_760_818_934_745], 24, 50);
+}
