--- a/crates/coriandercove_state/src/membership/entry.rs
+++ b/crates/coriandercove_state/src/membership/entry.rs
@@ -413,11 +413,7 @@
         if leaving {
             self.mark_leaving(self.me);
         }
-        let refute = liveness != Liveness::Alive
-            && !self
-                .faults
-                .has(super::faults::MembershipFault::NoRefutation);
-        if refute {
+        if liveness != Liveness::Alive {
             self.seq += 1;
             self.change_mine(|r| r.liveness = Liveness::Alive);
             self.heat(self.me, false);
--- a/crates/coriandercove_state/src/membership/faults.rs
+++ b/crates/coriandercove_state/src/membership/faults.rs
@@ -9,7 +9,7 @@
     PartitionRuleOff,
     /// Dead members come back by stale digests after they were forgotten.
     ForgottenComeBack,
-    /// Suspicions of members that live are not refuted.
+    /// A higher heartbeat does not withdraw a suspicion.
     NoRefutation,
 }
 
--- a/crates/coriandercove_state/src/membership/record.rs
+++ b/crates/coriandercove_state/src/membership/record.rs
@@ -136,7 +136,9 @@
         leaving: bool,
         faults: Faults,
     ) -> Merge {
-        let newer = (beat, liveness) > (self.beat, self.liveness);
+        let revives = liveness == Liveness::Alive && self.liveness != Liveness::Alive;
+        let newer = (beat, liveness) > (self.beat, self.liveness)
+            && !(revives && faults.has(MembershipFault::NoRefutation));
         let leaves = leaving && !self.leaving;
         let news = (newer && liveness != self.liveness) || leaves;
         if newer {
