Let the agent keep 64 calls to its engine in flight

Cause: with 3 calls in flight, an item that arrived while all were taken waited for the end of an iteration and reached the engine just after the next one had started. Each stage added half an iteration to each token.

--- a/crates/coriandercove_agent/src/runtime.rs
+++ b/crates/coriandercove_agent/src/runtime.rs
@@ -61,7 +61,10 @@
             backend,
             stages: StageLimits::default(),
             batch: BatchLimits {
-                calls: 3,
+                // As many as `HttpLimits::connections`. An item that waits for a free call reaches the
+                // engine after the next iteration has started: with 3 calls, engines with
+                // iterations of 9 ms took 4.5 ms more for each token.
+                calls: 64,
                 items: 256,
                 timeout: Duration::from_secs(5),
             },
