--- a/crates/coriandercove_entry/src/core.rs
+++ b/crates/coriandercove_entry/src/core.rs
@@ -132,14 +132,14 @@
             };
             self.admission.set_limits(&account.name, limits);
         }
-        self.update_slots();
+        self.update_slots(now);
     }
 
     /// Sets the live entries, this one included; quotas and slots are split among them.
-    pub fn set_entries(&mut self, entries: &[NodeId]) {
+    pub fn set_entries(&mut self, now: Time, entries: &[NodeId]) {
         self.router.set_entries(entries.len());
         self.admission.set_entries(entries);
-        self.update_slots();
+        self.update_slots(now);
     }
 
     /// Choice of targets, for plain services and reports.
@@ -165,8 +165,8 @@
         self.admission.queued()
     }
 
-    fn update_slots(&mut self) {
-        for (pool, slots) in self.router.slots() {
+    fn update_slots(&mut self, now: Time) {
+        for (pool, slots) in self.router.slots(now) {
             self.admission.set_slots(&pool, slots);
         }
     }
@@ -306,7 +306,7 @@
     /// Dispatches waiting requests, notices stalls and passed deadlines. Called every few ms.
     pub fn tick(&mut self, now: Time) {
         self.router.tick(now);
-        self.update_slots();
+        self.update_slots(now);
         for action in self.admission.poll(now) {
             match action {
                 AdmissionAction::Dispatch { req } => self.dispatch(now, req),
--- a/crates/coriandercove_entry/src/runtime.rs
+++ b/crates/coriandercove_entry/src/runtime.rs
@@ -322,7 +322,7 @@
 
     fn set_entries(self: &Rc<Self>, entries: &[Address]) {
         let names: Vec<NodeId> = entries.iter().map(|e| e.node.clone()).collect();
-        self.core.borrow_mut().set_entries(&names);
+        self.core.borrow_mut().set_entries(self.clock.now(), &names);
         self.set_claim_writers(entries, &names);
     }
 
--- a/crates/coriandercove_state/src/claim/index.rs
+++ b/crates/coriandercove_state/src/claim/index.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use coriandercove_base::Time;
+
 use super::{Change, Claim, ClaimState, KeyHash, Segment};
 use crate::store_call::Version;
 
@@ -11,6 +13,10 @@
     pub number: u64,
     pub version: Version,
     pub segment: Segment,
+    /// Size of the encoded segment.
+    pub bytes: usize,
+    /// When this version was first seen, by the own monotonic clock.
+    pub since: Time,
 }
 
 /// A segment that is never written again.
@@ -18,6 +24,8 @@
 pub(super) struct Sealed {
     pub version: Version,
     pub segment: Segment,
+    /// When the segment was first seen sealed, by the own monotonic clock.
+    pub since: Time,
 }
 
 /// What a change means for the claims in view.
@@ -37,6 +45,8 @@
     pub sealed: BTreeMap<u64, Sealed>,
     pub active: Option<Active>,
     claims: HashMap<KeyHash, Claim>,
+    /// Whether sealed segments came or went since the claims were last merged.
+    is_stale: bool,
 }
 
 impl View {
@@ -53,13 +63,26 @@
         self.active.as_ref().map(|a| (a.number, a.version))
     }
 
-    pub fn set_active(&mut self, active: Active) {
+    pub fn set_active(&mut self, mut active: Active) {
+        if let Some(old) = &self.active
+            && (old.number, old.version) == (active.number, active.version)
+        {
+            active.since = old.since;
+        }
         for claim in &active.segment.claims {
             self.claims.insert(claim.key, claim.clone());
         }
         self.active = Some(active);
     }
 
+    /// Takes in an own write to the active segment, of which only `changed` is new.
+    pub fn update_active(&mut self, active: Active, changed: Vec<Claim>) {
+        for claim in changed {
+            self.claims.insert(claim.key, claim);
+        }
+        self.active = Some(active);
+    }
+
     /// Takes in a sealed segment. Segments may arrive in any order, so the claims are merged
     /// anew with the next [`View::rebuild`].
     pub fn set_sealed(&mut self, number: u64, sealed: Sealed) {
@@ -67,10 +90,30 @@
             self.active = None;
         }
         self.sealed.insert(number, sealed);
+        self.is_stale = true;
     }
 
-    /// Merges all segments; claims of later segments win.
+    /// Drops the segments that do not exist any more.
+    pub fn retain(&mut self, exists: impl Fn(u64) -> bool) {
+        let before = self.sealed.len();
+        self.sealed.retain(|n, _| exists(*n));
+        self.is_stale |= self.sealed.len() < before;
+        if self.active.as_ref().is_some_and(|a| !exists(a.number)) {
+            self.drop_active();
+        }
+    }
+
+    /// Drops the active segment, which is not the one that readers look at.
+    pub fn drop_active(&mut self) {
+        self.active = None;
+        self.is_stale = true;
+    }
+
+    /// Merges all segments, if necessary; claims of later segments win.
     pub fn rebuild(&mut self) {
+        if !std::mem::take(&mut self.is_stale) {
+            return;
+        }
         self.claims.clear();
         let sealed = self.sealed.values().map(|s| &s.segment);
         for segment in sealed.chain(self.active.iter().map(|a| &a.segment)) {
--- a/crates/coriandercove_state/src/claim/reply.rs
+++ b/crates/coriandercove_state/src/claim/reply.rs
@@ -7,7 +7,7 @@
 use super::ChangeResult;
 use super::index::{Active, Sealed};
 use super::segment::{self, Segment};
-use super::shard::{Op, Shard, ShardAction, Waiting, may_fail, settled};
+use super::shard::{Op, Shard, ShardAction, Waiting, Write, may_fail, settled};
 use crate::fault::{self, Fault};
 use crate::store_call::{StoreReply, Version};
 
@@ -23,9 +23,9 @@
         let is_read = matches!(op, Op::List | Op::Get(_));
         let mut failed = reply == StoreReply::Unavailable || (is_read && reply == StoreReply::Lost);
         let mut actions = match op {
-            Op::Write { segment, batch } => self.on_write(segment, batch, &reply),
+            Op::Write(write) => self.on_write(now, write, &reply),
             op => {
-                failed |= !self.on_other(op, reply);
+                failed |= !self.on_other(now, op, reply);
                 Vec::new()
             }
         };
@@ -40,14 +40,14 @@
 
     /// Takes the result of a call other than a write of claims. Returns `false` if the
     /// content of an object is malformed.
-    fn on_other(&mut self, op: Op, reply: StoreReply) -> bool {
+    fn on_other(&mut self, now: Time, op: Op, reply: StoreReply) -> bool {
         match (op, reply) {
             (Op::List, StoreReply::Names(names)) => self.on_names(&names),
             (Op::Get(number), StoreReply::Value { version, value }) => {
                 match Segment::decode(&value) {
                     Ok(segment) => {
-                        let found = Some((version, segment));
-                        self.loader.on_get(&mut self.view, number, found);
+                        let found = Some((version, value.len(), segment));
+                        self.loader.on_get(&mut self.view, now, number, found);
                     }
                     // Nothing is known of the claims in it, so the shard stays unloaded.
                     Err(_) => {
@@ -57,7 +57,7 @@
                 }
             }
             (Op::Get(number), StoreReply::Absent) => {
-                self.loader.on_get(&mut self.view, number, None);
+                self.loader.on_get(&mut self.view, now, number, None);
             }
             (Op::Create(number), StoreReply::Written(version))
                 if fault::is_on(Fault::CreateNotConfirmed) =>
@@ -67,13 +67,15 @@
                     number,
                     version,
                     segment,
+                    bytes: 0,
+                    since: now,
                 };
                 self.loader.trust_created(&mut self.view, active);
             }
             (Op::Create(_), reply) if reply != StoreReply::Unavailable => self.loader.on_create(),
-            (Op::Seal(segment), reply) => self.on_seal(segment, &reply),
+            (Op::Seal(segment), reply) => self.on_seal(now, segment, &reply),
             (Op::Delete(number), StoreReply::Deleted | StoreReply::Absent) => {
-                self.view.sealed.remove(&number);
+                self.view.retain(|n| n != number);
                 self.view.rebuild();
             }
             (Op::DeleteStray(number), StoreReply::Deleted | StoreReply::Absent) => {
@@ -98,55 +100,53 @@
         self.loader.on_list(&mut self.view, &numbers);
     }
 
-    fn on_seal(&mut self, segment: Segment, reply: &StoreReply) {
+    fn on_seal(&mut self, now: Time, segment: Segment, reply: &StoreReply) {
         match (reply, self.view.position()) {
             (StoreReply::Unavailable, _) => return,
             (StoreReply::Written(version), Some((number, _))) => {
                 let version = *version;
-                self.view.set_sealed(number, Sealed { version, segment });
+                let sealed = Sealed {
+                    version,
+                    segment,
+                    since: now,
+                };
+                self.view.set_sealed(number, sealed);
             }
             _ => {}
         }
         self.loader.restart(&self.view);
     }
 
-    fn on_write(
-        &mut self,
-        segment: Segment,
-        batch: Vec<Waiting>,
-        reply: &StoreReply,
-    ) -> Vec<ShardAction> {
+    fn on_write(&mut self, now: Time, write: Write, reply: &StoreReply) -> Vec<ShardAction> {
         match reply {
-            StoreReply::Written(version) => self.on_written(*version, segment, &batch),
-            StoreReply::Unavailable => self.requeue(batch),
+            StoreReply::Written(version) => self.on_written(now, *version, write),
+            StoreReply::Unavailable => self.requeue(write.batch),
             StoreReply::Conflict | StoreReply::Absent if fault::is_on(Fault::IgnoreConflict) => {
                 self.loader.restart(&self.view);
-                settle_all(&batch, &ChangeResult::Written)
+                settle_all(&write.batch, &ChangeResult::Written)
             }
             StoreReply::Conflict | StoreReply::Absent => {
                 // If the request was doubled on its way, its first copy may have taken effect
                 // and the second one met the result. Reading back tells, as for a lost answer.
                 self.conflicts += 1;
-                self.mark_unsettled(batch)
+                self.mark_unsettled(write.batch)
             }
-            _ => self.on_write_lost(batch),
+            _ => self.on_write_lost(write.batch),
         }
     }
 
-    fn on_written(
-        &mut self,
-        version: Version,
-        segment: Segment,
-        batch: &[Waiting],
-    ) -> Vec<ShardAction> {
+    fn on_written(&mut self, now: Time, version: Version, write: Write) -> Vec<ShardAction> {
         if let Some((number, _)) = self.view.position() {
-            self.view.set_active(Active {
+            let active = Active {
                 number,
                 version,
-                segment,
-            });
+                segment: write.segment,
+                bytes: write.bytes,
+                since: now,
+            };
+            self.view.update_active(active, write.changed);
         }
-        settle_all(batch, &ChangeResult::Written)
+        settle_all(&write.batch, &ChangeResult::Written)
     }
 
     /// The write may have taken effect, or may still do so as long as the segment keeps its
--- a/crates/coriandercove_state/src/membership/gossip.rs
+++ b/crates/coriandercove_state/src/membership/gossip.rs
@@ -39,7 +39,7 @@
     /// Different entries chosen at random, this one excluded.
     fn random_entries(&mut self, n: usize) -> Vec<MemberKey> {
         let me = self.me;
-        let mut keys: Vec<MemberKey> = self.observers.entries.iter().map(|(k, _)| *k).collect();
+        let mut keys = self.observers.peers.clone();
         keys.retain(|k| *k != me);
         for i in 0..keys.len().min(n) {
             let j = i + pick(self.rng.next_u64(), keys.len() - i);
@@ -246,16 +246,16 @@
         }
     }
 
-    /// Asks a peer whose table differs for the differing buckets, once rumours had time to
-    /// arrive.
+    /// Asks a peer whose table differs for the differing buckets, at most every 5 s.
     fn compare(&mut self, now: Time, from: SocketAddr, key: MemberKey, summary: u32) {
         if summary == self.table.summary() {
             self.differs_since = None;
             return;
         }
         let since = *self.differs_since.get_or_insert(now);
-        let rumours = self.table.members.values().any(|m| m.hot > 0);
-        if rumours || now < since + self.cfg.heartbeat * 2 || now < self.next_query {
+        // Nothing else delays a query: digests of entries that agree arrive all the time where
+        // half of them lag, and tables that differ may keep changing until they agree.
+        if now < self.next_query {
             return;
         }
         self.next_query = now + self.cfg.heartbeat * 5;
@@ -283,35 +283,40 @@
         }
         let mine = self.table.buckets();
         let differs = |k: &MemberKey| query.buckets.get(bucket(*k)) != mine.get(bucket(*k));
-        let mut keys: Vec<MemberKey> = self
-            .table
-            .members
-            .keys()
-            .filter(|k| differs(k))
-            .copied()
-            .collect();
-        if keys.is_empty()
+        let mut states = self.states(differs);
+        if states.is_empty()
             || !self
                 .budget
                 .allows(self.cfg.digest_bytes + self.cfg.overhead)
         {
             return;
         }
-        let start = pick(self.rng.next_u64(), keys.len());
-        keys.rotate_left(start);
+        let start = pick(self.rng.next_u64(), states.len());
+        states.rotate_left(start);
         let mut digest = self.empty_digest();
         let mut room = Room::new(&digest, self.cfg.digest_bytes, self.cfg.datagram_bytes);
-        for key in keys {
-            if let Some(member) = self.table.get(key).filter(|m| m.record.incarnation > 0) {
-                let state = state_record(key, member);
-                if !room.take(&state) {
-                    break;
-                }
-                digest.changes.push(state);
-            }
-        }
+        digest.changes = states.into_iter().take_while(|s| room.take(s)).collect();
         self.send(from, &Message::Digest(digest));
     }
+
+    /// States of the members chosen, forgotten ones included as dead: an entry that was away when
+    /// a member died would otherwise list it for ever.
+    fn states(&self, chosen: impl Fn(&MemberKey) -> bool) -> Vec<StateRecord> {
+        let members = self.table.members.iter();
+        let heard = members.filter(|(_, m)| m.record.incarnation > 0);
+        let heard = heard.map(|(k, m)| state_record(*k, m));
+        let forgotten = self.table.forgotten.iter();
+        let dead = forgotten.filter(|(k, _)| self.table.get(**k).is_none());
+        let dead = dead.map(|(key, f)| StateRecord {
+            key: *key,
+            incarnation: f.incarnation,
+            beat: f.beat,
+            liveness: Liveness::Dead,
+            leaving: f.leaving,
+            detail_version: 0,
+        });
+        heard.chain(dead).filter(|s| chosen(&s.key)).collect()
+    }
 }
 
 fn state_record(key: MemberKey, member: &Member) -> StateRecord {
--- a/crates/coriandercove_state/src/membership/heartbeat.rs
+++ b/crates/coriandercove_state/src/membership/heartbeat.rs
@@ -4,7 +4,7 @@
 use super::event::{MemberEvent, MembershipAction};
 use super::message::{Ack, Heartbeat, Message};
 use super::observers::observers_hash;
-use super::record::{Liveness, MemberInfo, MemberKey, MemberRecord, Merge, member_key};
+use super::record::{Liveness, MemberInfo, MemberKey, MemberRecord, member_key};
 use coriandercove_base::{ConfigVersion, Time};
 use std::net::SocketAddr;
 
@@ -12,13 +12,16 @@
 /// observer lives.
 const ACK_EVERY: u64 = 4;
 
+/// Callers that get heartbeats beside the observers.
+const MAX_CALLERS: usize = 8;
+
 impl EntryMembership {
     pub(super) fn received(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) {
         self.counters.received += 1;
         self.counters.bytes_received += (bytes.len() + self.cfg.overhead) as u64;
         match Message::decode(bytes) {
             Some(Message::Heartbeat(beat)) => self.heartbeat(now, from, &beat),
-            Some(Message::Ack(ack)) => self.acked(now, ack),
+            Some(Message::Ack(ack)) => self.acked(now, from, ack),
             Some(Message::Digest(digest)) => self.digest(now, from, digest),
             Some(Message::Query(query)) => self.query(now, from, &query),
             None => self.counters.malformed += 1,
@@ -169,7 +172,10 @@
             .collect()
     }
 
-    fn acked(&mut self, now: Time, ack: Ack) {
+    fn acked(&mut self, now: Time, from: SocketAddr, ack: Ack) {
+        if ack.seq == 0 && self.callers.len() < MAX_CALLERS {
+            self.callers.insert(from, now + self.cfg.heartbeat * 30);
+        }
         if let Some(info) = ack.info.filter(|i| is_valid(i, ack.key)) {
             self.merge_record(
                 now,
@@ -219,6 +225,14 @@
             to = self.cfg.seeds.clone();
             self.info_rounds = self.info_rounds.max(1);
         }
+        self.callers.retain(|_, until| now < *until);
+        to.extend(
+            self.callers
+                .keys()
+                .filter(|a| !to.contains(a))
+                .copied()
+                .collect::<Vec<_>>(),
+        );
         to.retain(|a| *a != self.cfg.me.udp);
         let seq = self.next_seq();
         let mine = self.mine();
@@ -259,26 +273,27 @@
             return;
         }
         let known = (r.incarnation, r.beat, r.liveness);
-        if s.incarnation < r.incarnation || s.beat < r.beat && s.liveness != r.liveness {
+        if s.incarnation < r.incarnation {
             self.counters.stale_records += 1;
-            let info = s.incarnation < r.incarnation;
-            self.heat(s.key, info);
+            self.heat(s.key, true);
             return;
         }
         if s.detail_version > r.info.detail_version {
             self.missing.entry(s.key).or_insert(now);
         }
+        // The sender lags, so the news it missed is told again.
+        let old_info = s.detail_version < r.info.detail_version;
+        let old_state = s.beat < r.beat && s.liveness != r.liveness;
         let merge = r.merge_state((s.beat, s.liveness), s.leaving, faults);
         let revived = known.2 != Liveness::Alive && r.liveness == Liveness::Alive;
         if revived && member.observed.is_some() {
             member.patience = (member.patience * 2).min(8);
         }
-        let merge = if merge == Merge::Nothing {
-            merge
-        } else {
-            Merge::State
-        };
         self.merged(now, s.key, (known.0, known.2), merge);
+        if old_info || old_state {
+            self.counters.stale_records += u64::from(old_state);
+            self.heat(s.key, old_info);
+        }
     }
 }
 
--- a/crates/coriandercove_state/src/placement.rs
+++ b/crates/coriandercove_state/src/placement.rs
@@ -29,6 +29,8 @@
     pending: Option<(PlacementOrder, Time)>,
     /// Time until which it gets no order, after a failure.
     paused_until: Time,
+    /// Since when it is not available.
+    gone_since: Option<Time>,
 }
 
 /// The placement job of one holder of the placement lease.
@@ -39,6 +41,9 @@
 pub struct Placement {
     cfg: PlacementSettings,
     fence: Option<Fence>,
+    /// Time of taking over.
+    since: Time,
+    seq: u64,
     desired: Vec<DesiredRange>,
     /// Kept in a hash map, because there are thousands at the planned size.
     targets: HashMap<TargetId, Target>,
@@ -59,6 +64,8 @@
         Self {
             cfg,
             fence: None,
+            since: Time::ZERO,
+            seq: 0,
             desired: Vec::new(),
             targets: HashMap::new(),
             next_load: Time::ZERO,
@@ -85,7 +92,7 @@
             PlacementEvent::Holder(fence) => self.take_over(now, fence),
             PlacementEvent::NotHolder => self.stand_down(),
             PlacementEvent::Desired(desired) => self.desired = desired,
-            PlacementEvent::Targets(views) => self.set_targets(views),
+            PlacementEvent::Targets(views) => self.set_targets(now, views),
             PlacementEvent::Confirmed { fence, view } => self.confirmed(fence, view),
             PlacementEvent::OrderResult {
                 target,
@@ -109,6 +116,8 @@
         self.stand_down();
         self.fence = Some(fence);
         self.next_load = now;
+        self.since = now;
+        self.seq = 0;
         self.tick(now);
     }
 
@@ -122,7 +131,7 @@
         }
     }
 
-    fn set_targets(&mut self, views: Vec<TargetView>) {
+    fn set_targets(&mut self, now: Time, views: Vec<TargetView>) {
         let mut old = std::mem::take(&mut self.targets);
         for view in views {
             let target = old.remove(&view.target).unwrap_or_else(|| Target {
@@ -131,9 +140,14 @@
                 asked_at: None,
                 pending: None,
                 paused_until: Time::ZERO,
+                gone_since: None,
             });
             let entry = self.targets.entry(view.target.clone()).or_insert(target);
             entry.update(view);
+            entry.gone_since = match entry.view.available {
+                true => None,
+                false => entry.gone_since.or(Some(now)),
+            };
         }
     }
 
@@ -181,22 +195,23 @@
     fn confirm_targets(&mut self, now: Time, fence: Fence) {
         let skip = self.faults.has(PlacementFault::ConfirmSkipped);
         let timeout = self.cfg.confirm_timeout;
+        let mut due: Vec<TargetId> = Vec::new();
         for (name, target) in &mut self.targets {
             target.confirmed |= skip;
-            let due = target.asked_at.is_none_or(|at| at + timeout <= now);
-            if !target.confirmed && target.view.available && due {
+            let late = target.asked_at.is_none_or(|at| at + timeout <= now);
+            if !target.confirmed && target.view.available && late {
                 target.asked_at = Some(now);
-                self.out.push(PlacementAction::Order {
-                    target: name.clone(),
-                    fence,
-                    order: PlacementOrder::Confirm,
-                });
+                due.push(name.clone());
             }
         }
-        self.out.sort_by(|a, b| a.target().cmp(&b.target()));
+        due.sort();
+        for target in due {
+            self.give(target, fence, PlacementOrder::Confirm);
+        }
     }
 
-    /// Gives orders again whose effect does not show. Repeating one changes nothing.
+    /// Gives orders again whose effect does not show, if they are still allowed. Repeating one
+    /// that took effect changes nothing.
     fn repeat_orders(&mut self, now: Time, fence: Fence) {
         let mut due: Vec<TargetId> = Vec::new();
         for (name, target) in &mut self.targets {
@@ -209,24 +224,27 @@
         }
         due.sort();
         for target in due {
-            if let Some((order, _)) = &self.targets[&target].pending {
-                let order = order.clone();
-                self.out.push(PlacementAction::Order {
-                    target,
-                    fence,
-                    order,
-                });
+            let known = &self.targets[&target];
+            let Some((order, _)) = known.pending.clone() else {
+                continue;
+            };
+            let replaces = matches!(order, PlacementOrder::Load(_) | PlacementOrder::Unload);
+            if !replaces || self.may_take(&self.desired, known) {
+                self.give(target, fence, order);
             }
         }
     }
-}
 
-impl PlacementAction {
-    fn target(&self) -> Option<&TargetId> {
-        match self {
-            Self::Order { target, .. } => Some(target),
-            Self::Blocked { .. } => None,
-        }
+    fn give(&mut self, target: TargetId, fence: Fence, order: PlacementOrder) {
+        self.seq += 1;
+        let incarnation = self.targets.get(&target).map_or(0, |t| t.view.incarnation);
+        self.out.push(PlacementAction::Order {
+            target,
+            incarnation,
+            fence,
+            seq: self.seq,
+            order,
+        });
     }
 }
 
--- a/crates/coriandercove_state/tests/claims/main.rs
+++ b/crates/coriandercove_state/tests/claims/main.rs
@@ -3,12 +3,18 @@
 #[cfg(test)]
 mod calls;
 #[cfg(test)]
+mod calls_nodes;
+#[cfg(test)]
 mod calls_world;
 #[cfg(test)]
 mod faults;
 #[cfg(test)]
+mod flows;
+#[cfg(test)]
 mod leases;
 #[cfg(test)]
+mod oracle;
+#[cfg(test)]
 mod regressions;
 #[cfg(test)]
 mod runner;
