--- a/crates/coriandercove_bench/src/main.rs
+++ b/crates/coriandercove_bench/src/main.rs
@@ -1,5 +1,6 @@
 //! The load tool: runs a scenario and prints one line of JSON.
 
+mod bookings;
 mod bound;
 mod direct;
 mod load;
--- a/crates/coriandercove_bench/src/scenario.rs
+++ b/crates/coriandercove_bench/src/scenario.rs
@@ -2,6 +2,8 @@
 
 mod failures;
 mod models;
+mod network;
+mod services;
 mod steady;
 
 use std::time::Duration;
@@ -161,6 +163,30 @@
         failures::drain,
         "work and cut streams of a leaving target",
     ),
+    scenario(
+        "slow-link",
+        Profile::Brandstatter,
+        network::slow_link,
+        "gaps when the links of a zone become 100 times slower",
+    ),
+    scenario(
+        "partition",
+        Profile::Brandstatter,
+        network::partition,
+        "stalls when a zone loses contact with the others for 5 s",
+    ),
+    scenario(
+        "entry-loss",
+        Profile::Brandstatter,
+        network::entry_loss,
+        "streams of the other entries when one entry dies",
+    ),
+    scenario(
+        "bookings",
+        Profile::Brandstatter,
+        services::bookings,
+        "effects of bookings when answers are lost and a service VM dies",
+    ),
     scenario(
         "shuffle",
         Profile::Hyotan,
--- a/crates/coriandercove_bench/src/scenario/failures.rs
+++ b/crates/coriandercove_bench/src/scenario/failures.rs
@@ -21,7 +21,7 @@
 /// Goal for the length of a stall at the 95th percentile.
 const GOAL: Duration = Duration::from_secs(1);
 
-const RECOVERY_TARGET: &str =
+pub const RECOVERY_TARGET: &str =
     "stalls of the affected streams <= 1 s at the 95th percentile; no stream lost";
 
 /// A deployment at half load, and the load.
@@ -60,7 +60,7 @@
     record.stalls.len() - caused(record, failures).len()
 }
 
-fn recovery(record: &Record, failures: &[Duration]) -> Outcome {
+pub fn recovery(record: &Record, failures: &[Duration]) -> Outcome {
     let mut stalls: Vec<Duration> = caused(record, failures).iter().map(|s| s.length).collect();
     stalls.sort_unstable();
     let at = |q: f64| {
--- a/crates/coriandercove_local/src/agent.rs
+++ b/crates/coriandercove_local/src/agent.rs
@@ -12,6 +12,7 @@
 use coriandercove_standin::service::ServiceHandle;
 use coriandercove_target::{HttpEngine, HttpService};
 
+use crate::network::Network;
 use crate::role::{Lifecycle, Role, RoleError};
 
 /// The stand-in beside an agent.
@@ -68,7 +69,13 @@
     ///
     /// # Errors
     /// [`RoleError`] if it does not start.
-    pub fn start(own: PeerInfo, key: &ClusterKey, standin: Standin) -> Result<Self, RoleError> {
+    pub fn start(
+        own: PeerInfo,
+        key: &ClusterKey,
+        standin: Standin,
+        network: Option<&Network>,
+    ) -> Result<Self, RoleError> {
+        let shaper = network.map(|n| n.shaper(&own.node, &own.zone));
         let (url, is_engine, key) = (standin.url(), standin.is_engine(), key.clone());
         let name = own.node.to_string();
         let start = move || async move {
@@ -78,7 +85,11 @@
             } else {
                 Backend::Service(Rc::new(HttpService::new(client, &url)))
             };
-            Agent::start(AgentConfig::new(own, key, backend, discard())).await
+            let mut cfg = AgentConfig::new(own, key, backend, discard());
+            if let Some(shaper) = shaper {
+                cfg = cfg.with_shaper(Rc::new(shaper));
+            }
+            Agent::start(cfg).await
         };
         let (role, info) = Role::start(&name, start, Agent::own)?;
         Ok(Self {
--- a/crates/coriandercove_local/src/deployment.rs
+++ b/crates/coriandercove_local/src/deployment.rs
@@ -144,7 +144,8 @@
         standin: Standin,
     ) -> Result<PeerInfo, DeploymentError> {
         let own = peer_info(name, zone, PeerRole::Agent);
-        let agent = AgentRole::start(own, &self.key, standin).context(StartRoleSnafu)?;
+        let agent = AgentRole::start(own, &self.key, standin, self.plan.network.as_ref())
+            .context(StartRoleSnafu)?;
         let info = agent.info.clone();
         self.agents.push(agent);
         Ok(info)
@@ -159,7 +160,13 @@
             callers.set_port(self.plan.first_port + i as u16);
         }
         let seed = self.plan.seed.wrapping_mul(1000).wrapping_add(i as u64);
-        let entry = EntryRole::start(own, self.key.clone(), callers, Some(seed));
+        let entry = EntryRole::start(
+            own,
+            self.key.clone(),
+            callers,
+            Some(seed),
+            self.plan.network.as_ref(),
+        );
         self.entries.push(entry.context(StartRoleSnafu)?);
         Ok(())
     }
--- a/crates/coriandercove_local/src/entry.rs
+++ b/crates/coriandercove_local/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry on a thread of its own.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use coriandercove_base::ConfigVersion;
 use coriandercove_base::telemetry::discard;
@@ -8,6 +9,7 @@
 use coriandercove_entry::{Entry, EntryConfig};
 use coriandercove_peer::{Address, ClusterKey, PeerInfo};
 
+use crate::network::Network;
 use crate::role::{Lifecycle, Role, RoleError};
 
 /// An entry on a thread of its own.
@@ -40,13 +42,18 @@
         key: ClusterKey,
         callers: SocketAddr,
         seed: Option<u64>,
+        network: Option<&Network>,
     ) -> Result<Self, RoleError> {
+        let shaper = network.map(|n| n.shaper(&own.node, &own.zone));
         let name = own.node.to_string();
         let start = move || async move {
             let mut cfg = EntryConfig::new(own, key, callers, discard());
             if let Some(seed) = seed {
                 cfg = cfg.with_seed(seed);
             }
+            if let Some(shaper) = shaper {
+                cfg = cfg.with_shaper(Rc::new(shaper));
+            }
             Entry::start(cfg).await
         };
         let describe = |entry: &Entry| (entry.callers(), entry.address());
--- a/crates/coriandercove_local/src/lib.rs
+++ b/crates/coriandercove_local/src/lib.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod deployment;
 mod entry;
+mod network;
 mod plan;
 mod role;
 mod tuning;
@@ -12,6 +13,7 @@
 pub use agent::{AgentRole, Standin};
 pub use deployment::{Deployment, DeploymentError};
 pub use entry::EntryRole;
+pub use network::{Network, ZoneLink};
 pub use plan::{EnginePlan, Plan};
 pub use role::{Role, RoleError};
 pub use tuning::EngineTuning;
--- a/crates/coriandercove_local/src/plan.rs
+++ b/crates/coriandercove_local/src/plan.rs
@@ -5,6 +5,7 @@
 use coriandercove_base::{Layer, ModelId, ZoneId};
 use coriandercove_config::{Pipeline, Repeat, Rule, Service};
 
+use crate::network::Network;
 use crate::tuning::EngineTuning;
 
 /// One engine of a plan.
@@ -43,6 +44,8 @@
     pub seed: u64,
     /// Settings of the engine stand-ins that differ from the defaults.
     pub tuning: EngineTuning,
+    /// Delays and partitions between zones; links are not shaped if absent.
+    pub network: Option<Network>,
 }
 
 impl Plan {
@@ -71,6 +74,7 @@
             concurrency: 64,
             seed: 1,
             tuning: EngineTuning::default(),
+            network: None,
         }
     }
 
