Fuzz the data path over an in-memory network

The entry's core, the stages of nine agents and engines in memory run through random sequences of steps. Refusals of completions now carry an outcome: before, each refusal ahead of the first token said not_run even if engines had run the prompt, and it was charged. Iteration over streams has an order, so that a run can be repeated. The core learns of leaving and dead targets, and a new configuration no longer makes them ready.

--- a/crates/coriandercove_agent/src/stage.rs
+++ b/crates/coriandercove_agent/src/stage.rs
@@ -1,6 +1,7 @@
 //! The stages that this agent runs: which inputs are accepted, what the engine runs next and
 //! where its outputs go. Pure: events and time in, actions out.
 
+pub mod fault;
 mod stream;
 
 use std::collections::HashMap;
@@ -12,6 +13,7 @@
 };
 use coriandercove_target::ItemError;
 
+use fault::Fault;
 use stream::Stream;
 
 /// How long a cancelled attempt is remembered, so that an `OpenStage` that arrives late by
@@ -177,9 +179,25 @@
         self.streams.is_empty()
     }
 
+    /// Streams opened so far.
+    #[must_use]
+    pub const fn opened(&self) -> u64 {
+        self.opened
+    }
+
+    /// Bytes of outputs retained for the replay to a rebuilt next stage.
+    #[must_use]
+    pub const fn retained_bytes(&self) -> usize {
+        self.retained_bytes
+    }
+
     /// Refuses new streams from now on.
-    pub const fn leave(&mut self) {
+    pub fn leave(&mut self) {
         self.leaving = true;
+        if fault::is_on(Fault::CutAtLeave) {
+            self.streams.clear();
+            self.retained_bytes = 0;
+        }
     }
 
     /// Opens a stage.
@@ -208,7 +226,7 @@
     }
 
     fn open_new(&mut self, open: OpenStage) {
-        let refusal = if self.leaving {
+        let refusal = if self.leaving && !fault::is_on(Fault::OpenWhileLeaving) {
             Some(StageFailureReason::Leaving)
         } else if self.streams.len() >= self.limits.max_streams {
             Some(StageFailureReason::Overloaded)
@@ -319,7 +337,7 @@
     /// to come back for a while.
     pub fn link_down(&mut self, now: Time, node: &NodeId) {
         let mut owns = false;
-        for stream in self.streams.values() {
+        for stream in in_order(&self.streams) {
             owns |= stream.open().entry.node == *node;
             if stream.next_node() == Some(node) {
                 let stage = stream.open().stage + 1;
@@ -354,7 +372,7 @@
 
     /// Asks the entries to move all streams, because the drain deadline has passed.
     pub fn evict(&mut self) {
-        for stream in self.streams.values() {
+        for stream in in_order(&self.streams) {
             let reason = StageFailureReason::Drained;
             self.actions
                 .push(failure(stream.open(), stream.open().stage, reason));
@@ -375,9 +393,8 @@
         for node in gone {
             self.entries_down.remove(&node);
             let of_entry = |s: &Stream| s.open().entry.node == node;
-            let reqs: Vec<_> = self
-                .streams
-                .values()
+            let reqs: Vec<_> = in_order(&self.streams)
+                .into_iter()
                 .filter(|s| of_entry(s))
                 .map(Stream::req)
                 .collect();
@@ -401,7 +418,11 @@
     ) {
         let result = match self.streams.get_mut(&req) {
             None => Err(Dropped::NoStage),
-            Some(stream) if stream.attempt() > attempt => Err(Dropped::OldAttempt),
+            Some(stream)
+                if stream.attempt() > attempt && !fault::is_on(Fault::AcceptOldAttempt) =>
+            {
+                Err(Dropped::OldAttempt)
+            }
             Some(stream) if stream.attempt() < attempt => Err(Dropped::NoStage),
             Some(stream) => f(stream, &mut self.actions),
         };
@@ -444,6 +465,13 @@
     }
 }
 
+/// The streams in the order in which they were opened, so that a run can be repeated.
+fn in_order(streams: &HashMap<RequestId, Stream>) -> Vec<&Stream> {
+    let mut streams: Vec<_> = streams.values().collect();
+    streams.sort_unstable_by_key(|s| s.serial());
+    streams
+}
+
 const fn refusal_reason(error: ItemError) -> StageFailureReason {
     match error {
         ItemError::OutOfMemory => StageFailureReason::OutOfMemory,
--- /dev/null
+++ b/crates/coriandercove_agent/src/stage/fault.rs
@@ -0,0 +1,54 @@
+//! Deliberate faults of stages, chosen at run time in builds with the feature `faults`.
+//!
+//! The fuzz test of the data path switches them on to show that it finds each one. Without the
+//! feature, [`is_on`] is constant and the faulty branches are compiled out.
+
+/// A deliberate fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// A stage runs inputs that it has accepted before.
+    RunDuplicates,
+    /// A stage skips positions that have not arrived.
+    SkipGaps,
+    /// A stage accepts inputs that belong to an earlier attempt.
+    AcceptOldAttempt,
+    /// A rebuilt stage does not get the positions that it lacks.
+    NoReplay,
+    /// An agent that leaves opens new stages.
+    OpenWhileLeaving,
+    /// An agent that leaves frees its streams without a word to their entries.
+    CutAtLeave,
+    /// The head runs on without credit.
+    IgnoreCredit,
+}
+
+#[cfg(feature = "faults")]
+mod switch {
+    use super::Fault;
+    use std::cell::Cell;
+
+    thread_local! {
+        static CURRENT: Cell<Option<Fault>> = const { Cell::new(None) };
+    }
+
+    /// Switches `fault` on in this thread, or all faults off.
+    pub fn set(fault: Option<Fault>) {
+        CURRENT.set(fault);
+    }
+
+    /// Whether `fault` is on in this thread.
+    #[must_use]
+    pub fn is_on(fault: Fault) -> bool {
+        CURRENT.get() == Some(fault)
+    }
+}
+
+#[cfg(feature = "faults")]
+pub use switch::{is_on, set};
+
+/// Whether `fault` is on; always false without the feature `faults`.
+#[cfg(not(feature = "faults"))]
+#[must_use]
+pub const fn is_on(_fault: Fault) -> bool {
+    false
+}
--- a/crates/coriandercove_agent/src/stage/stream.rs
+++ b/crates/coriandercove_agent/src/stage/stream.rs
@@ -6,6 +6,7 @@
 use coriandercove_peer::{Activation, Feed, Frame, Hop, OpenStage, StageFailureReason, TokenFrame};
 use coriandercove_target::oracle::END_OF_SEQUENCE;
 
+use super::fault::{self, Fault};
 use super::{Dropped, Job, StageAction};
 
 /// State of one stage of one stream.
@@ -87,7 +88,7 @@
             Frame::OpenStage(Box::new(open)),
         ));
         self.next_sent = next.held;
-        if next.held < self.next_out {
+        if next.held < self.next_out && !fault::is_on(Fault::NoReplay) {
             let outputs = self.replay(next.held)?;
             self.send_next(next.held, &outputs, false, actions);
         }
@@ -240,10 +241,10 @@
         actions.push(StageAction::Send(to, Frame::Activation(activation)));
     }
 
-    const fn check_position(&self, position: Position) -> Result<(), Dropped> {
-        if position < self.next_in {
+    fn check_position(&self, position: Position) -> Result<(), Dropped> {
+        if position < self.next_in && !fault::is_on(Fault::RunDuplicates) {
             Err(Dropped::Duplicate)
-        } else if position > self.next_in {
+        } else if position > self.next_in && !fault::is_on(Fault::SkipGaps) {
             Err(Dropped::Gap)
         } else {
             Ok(())
@@ -269,7 +270,7 @@
         if self.running {
             return;
         }
-        let limit = if self.open.stage == 0 {
+        let limit = if self.open.stage == 0 && !fault::is_on(Fault::IgnoreCredit) {
             self.credit
         } else {
             Position::MAX
--- a/crates/coriandercove_entry/src/core.rs
+++ b/crates/coriandercove_entry/src/core.rs
@@ -1,6 +1,8 @@
 //! Decisions of the entry about streams: admission, choice of chains, order of tokens and recovery.
 //! Pure: events and time in, actions out.
 
+pub mod fault;
+mod member;
 mod recovery;
 mod router;
 mod stream;
@@ -10,14 +12,16 @@
 
 use coriandercove_base::rng::Rng;
 use coriandercove_base::{AccountId, ModelId, NodeId, RequestId, TargetId, Time, Token};
+use coriandercove_caller::Outcome;
 use coriandercove_config::Config;
-use coriandercove_peer::{Address, Frame, StageFailure, TokenFrame};
+use coriandercove_peer::{Address, Frame, StageFailure, StageFailureReason, TokenFrame};
 use coriandercove_policy::RefusalReason;
 use coriandercove_policy::admission::{
     AccountLimits, Admission, AdmissionAction, AdmissionConfig, Admitted, Arrival,
 };
 use coriandercove_policy::explain::Refusal;
 
+use fault::Fault;
 pub use router::Router;
 use stream::Stream;
 
@@ -65,6 +69,8 @@
         req: RequestId,
         /// Why, and when to try again.
         refusal: Refusal,
+        /// [`Outcome::NotRun`] only if no stage of it can have run; nothing is charged then.
+        outcome: Outcome,
     },
     /// A stream was moved; counted by reason.
     Retried(&'static str),
@@ -132,14 +138,14 @@
             };
             self.admission.set_limits(&account.name, limits);
         }
-        self.update_slots();
+        self.update_slots(now);
     }
 
     /// Sets the live entries, this one included; quotas and slots are split among them.
-    pub fn set_entries(&mut self, entries: &[NodeId]) {
+    pub fn set_entries(&mut self, now: Time, entries: &[NodeId]) {
         self.router.set_entries(entries.len());
         self.admission.set_entries(entries);
-        self.update_slots();
+        self.update_slots(now);
     }
 
     /// Choice of targets, for plain services and reports.
@@ -165,8 +171,8 @@
         self.admission.queued()
     }
 
-    fn update_slots(&mut self) {
-        for (pool, slots) in self.router.slots() {
+    fn update_slots(&mut self, now: Time) {
+        for (pool, slots) in self.router.slots(now) {
             self.admission.set_slots(&pool, slots);
         }
     }
@@ -175,7 +181,11 @@
     /// follows, unless the request is cancelled.
     pub fn submit(&mut self, now: Time, spec: StreamSpec) {
         if !self.router.has_model(&spec.model) {
-            return self.refuse(spec.req, RefusalReason::UnknownModel, Duration::ZERO);
+            let refusal = Refusal {
+                reason: RefusalReason::UnknownModel,
+                retry_after: Duration::ZERO,
+            };
+            return self.refuse(spec.req, refusal, Outcome::NotRun);
         }
         let arrival = self.arrival(&spec);
         let req = spec.req;
@@ -187,7 +197,7 @@
             Admitted::Queued { .. } => {
                 self.streams.insert(req, Stream::new(spec, now));
             }
-            Admitted::Refused(refusal) => self.actions.push(CoreAction::Refuse { req, refusal }),
+            Admitted::Refused(refusal) => self.refuse(req, refusal, Outcome::NotRun),
         }
     }
 
@@ -220,8 +230,8 @@
                 self.streams.insert(req, stream);
             }
             Err(none) if stream.deadline_passed(now) => {
-                self.end(now, stream);
-                self.refuse(req, none.reason, DOWN_FOR);
+                self.streams.insert(req, stream);
+                self.give_up(now, req, none.reason);
             }
             Err(_) => {
                 stream.wait_for_chain(now);
@@ -232,12 +242,15 @@
 
     /// A token from the last stage of a chain.
     pub fn token(&mut self, now: Time, frame: &TokenFrame) {
+        let crossed = self.crossed(frame);
+        let frame = crossed.as_ref().unwrap_or(frame);
         let Some(stream) = self.streams.get_mut(&frame.req) else {
             return;
         };
         if !stream.accept(now, frame) {
             return;
         }
+        self.admission.answered(now, frame.req);
         self.actions.push(CoreAction::Emit {
             req: frame.req,
             tokens: vec![frame.token],
@@ -250,6 +263,19 @@
         }
     }
 
+    /// With the fault switched on, the frame as one of another stream that waits for it.
+    fn crossed(&self, frame: &TokenFrame) -> Option<TokenFrame> {
+        if !fault::is_on(Fault::CrossRequests) {
+            return None;
+        }
+        let other = self.streams.values().map(Stream::req).min()?;
+        let req = other;
+        Some(TokenFrame {
+            req,
+            ..frame.clone()
+        })
+    }
+
     /// The caller has taken `tokens` tokens in all; the head may go on accordingly.
     pub fn consumed(&mut self, req: RequestId, tokens: u32) {
         if let Some(stream) = self.streams.get_mut(&req) {
@@ -267,12 +293,22 @@
 
     /// An agent reports that a stage cannot go on.
     pub fn stage_failed(&mut self, now: Time, failure: &StageFailure) {
-        let Some(stream) = self.streams.get(&failure.req) else {
+        let Some(stream) = self.streams.get_mut(&failure.req) else {
             return;
         };
         if stream.attempt() != failure.attempt {
             return;
         }
+        let refused = matches!(
+            failure.reason,
+            StageFailureReason::Leaving | StageFailureReason::Overloaded
+        );
+        if refused && failure.stage == 0 {
+            stream.head_refused();
+        }
+        if failure.reason == StageFailureReason::Drained && fault::is_on(Fault::GiveUpDrained) {
+            return self.give_up(now, failure.req, RefusalReason::Leaving);
+        }
         self.recover(
             now,
             failure.req,
@@ -285,11 +321,13 @@
     /// The link to a node closed or fell silent.
     pub fn link_down(&mut self, now: Time, node: &NodeId) {
         self.router.mark_down(node, now + DOWN_FOR);
-        let affected: Vec<_> = self
+        let mut affected: Vec<_> = self
             .streams
             .values()
             .filter_map(|s| s.hop_of(node).map(|hop| (s.req(), hop)))
             .collect();
+        // Without an order, a run could not be repeated.
+        affected.sort_unstable();
         for (req, hop) in affected {
             self.recover_lost(now, req, hop, "link_down");
         }
@@ -297,6 +335,12 @@
 
     /// A frame never left this process.
     pub fn undelivered(&mut self, now: Time, to: &Address, frame: &Frame) {
+        if let Frame::OpenStage(open) = frame
+            && let Some(stream) = self.streams.get_mut(&open.req)
+            && stream.attempt() == open.attempt
+        {
+            stream.head_refused();
+        }
         let (Frame::OpenStage(_) | Frame::Feed(_)) = frame else {
             return;
         };
@@ -306,13 +350,13 @@
     /// Dispatches waiting requests, notices stalls and passed deadlines. Called every few ms.
     pub fn tick(&mut self, now: Time) {
         self.router.tick(now);
-        self.update_slots();
+        self.update_slots(now);
         for action in self.admission.poll(now) {
             match action {
                 AdmissionAction::Dispatch { req } => self.dispatch(now, req),
                 AdmissionAction::Refuse { req, refusal } => {
                     self.streams.remove(&req);
-                    self.actions.push(CoreAction::Refuse { req, refusal });
+                    self.refuse(req, refusal, Outcome::NotRun);
                 }
             }
         }
@@ -321,18 +365,27 @@
 
     /// Frees everything that a stream holds.
     fn end(&mut self, now: Time, mut stream: Stream) {
-        let cost = stream.cost();
+        let cost = if stream.may_have_run() {
+            stream.cost()
+        } else {
+            0
+        };
         let req = stream.req();
         stream.cancel_stages(&mut self.router, &mut self.actions);
         self.admission.release(now, req, cost);
     }
 
-    fn refuse(&mut self, req: RequestId, reason: RefusalReason, retry_after: Duration) {
-        let refusal = Refusal {
-            reason,
-            retry_after,
+    fn refuse(&mut self, req: RequestId, refusal: Refusal, outcome: Outcome) {
+        let outcome = if fault::is_on(Fault::RefuseAsNotRun) {
+            Outcome::NotRun
+        } else {
+            outcome
         };
-        self.actions.push(CoreAction::Refuse { req, refusal });
+        self.actions.push(CoreAction::Refuse {
+            req,
+            refusal,
+            outcome,
+        });
     }
 
     /// Targets of the chain that a stream uses now.
--- a/crates/coriandercove_entry/src/core/recovery.rs
+++ b/crates/coriandercove_entry/src/core/recovery.rs
@@ -1,9 +1,11 @@
 //! Moving streams to other chains.
 
 use coriandercove_base::{Position, RequestId, Time};
+use coriandercove_caller::Outcome;
 use coriandercove_peer::{Frame, StageFailureReason};
 use coriandercove_policy::RefusalReason;
 use coriandercove_policy::chain::{Chain, ChainHop};
+use coriandercove_policy::explain::Refusal;
 
 use super::stream::Stream;
 use super::{Core, CoreAction, DOWN_FOR};
@@ -46,11 +48,13 @@
 
     /// Notices stalls and passed deadlines, and finds chains for streams without one.
     pub(super) fn check_streams(&mut self, now: Time) {
-        let reqs: Vec<(RequestId, Check)> = self
+        let mut reqs: Vec<(RequestId, Check)> = self
             .streams
             .values()
             .filter_map(|s| Some((s.req(), check(s, now)?)))
             .collect();
+        // Without an order, a run could not be repeated.
+        reqs.sort_unstable_by_key(|(req, _)| *req);
         for (req, check) in reqs {
             match check {
                 Check::Deadline => self.give_up(now, req, RefusalReason::DeadlinePassed),
@@ -187,11 +191,20 @@
     }
 
     /// Ends a stream without a whole answer.
-    fn give_up(&mut self, now: Time, req: RequestId, reason: RefusalReason) {
+    pub(super) fn give_up(&mut self, now: Time, req: RequestId, reason: RefusalReason) {
         if let Some(stream) = self.streams.remove(&req) {
+            let outcome = if stream.may_have_run() {
+                Outcome::Unknown
+            } else {
+                Outcome::NotRun
+            };
             self.admission.cancel(now, req);
             self.end(now, stream);
-            self.refuse(req, reason, DOWN_FOR);
+            let refusal = Refusal {
+                reason,
+                retry_after: DOWN_FOR,
+            };
+            self.refuse(req, refusal, outcome);
         }
     }
 }
--- a/crates/coriandercove_entry/src/core/router.rs
+++ b/crates/coriandercove_entry/src/core/router.rs
@@ -12,6 +12,7 @@
     Candidate, Chain, ChainRequest, LinkCost, NoChain, Planner, PlannerConfig, TargetState,
 };
 
+use super::fault::{self, Fault};
 use super::stream::ChainNeed;
 
 /// Compute time of a layer on an accelerator for which the configuration gives none.
@@ -20,6 +21,17 @@
 /// Sequences that one iteration serves together.
 const BATCH_SLOTS: u32 = 32;
 
+/// What membership says of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Member {
+    /// It takes work.
+    Ready,
+    /// It takes no new work.
+    Leaving,
+    /// It is unreachable or dead.
+    Down,
+}
+
 /// Targets by what they serve.
 pub struct Router {
     zone: ZoneId,
@@ -30,6 +42,8 @@
     services: SortedMap<String, Vec<TargetId>>,
     /// Targets that get no new work until the time given.
     down: SortedMap<TargetId, Time>,
+    /// Targets that membership does not call ready.
+    members: SortedMap<TargetId, Member>,
     /// Live entries, this one included.
     entries: usize,
     /// Turns through the replicas of a service.
@@ -47,6 +61,7 @@
             addresses: SortedMap::new(),
             services: SortedMap::new(),
             down: SortedMap::new(),
+            members: SortedMap::new(),
             entries: 1,
             turn: 0,
         }
@@ -108,14 +123,10 @@
         self.models.contains(model)
     }
 
-    /// Requests that each model takes at once from this entry.
+    /// Requests of each model that this entry may have in progress.
     #[must_use]
-    pub fn slots(&self) -> Vec<(ModelId, u32)> {
-        let share = |model: &ModelId| {
-            self.planner
-                .concurrency(model)
-                .div_ceil(self.entries as u32)
-        };
+    pub fn slots(&self, now: Time) -> Vec<(ModelId, u32)> {
+        let share = |model: &ModelId| self.planner.own_slots(model, self.entries, now);
         self.models.keys().map(|m| (m.clone(), share(m))).collect()
     }
 
@@ -207,7 +218,8 @@
     pub fn choose_replica(&mut self, service: &str, exclude: &[TargetId]) -> Option<Address> {
         let targets = self.services.get(service)?;
         self.turn = self.turn.wrapping_add(1);
-        let usable = |t: &&TargetId| !exclude.contains(t) && !self.down.contains(*t);
+        let usable =
+            |t: &&TargetId| !exclude.contains(t) && self.state(t) == TargetState::Ready;
         let n = targets.len();
         let in_turn = (0..n).map(|i| &targets[(self.turn + i) % n]);
         in_turn
@@ -236,21 +248,51 @@
     /// Gives a target no new work until `until`.
     pub fn mark_down(&mut self, node: &NodeId, until: Time) {
         if self.addresses.contains(node) {
-            self.planner.set_state(node, TargetState::Down);
             self.down.insert(node.clone(), until);
+            self.refresh(node);
+        }
+    }
+
+    /// Takes in what membership says of a target.
+    pub fn set_member(&mut self, node: &NodeId, member: Member) {
+        if member == Member::Ready {
+            self.members.remove(node);
+            self.down.remove(node);
+        } else {
+            self.members.insert(node.clone(), member);
         }
+        self.refresh(node);
+    }
+
+    fn state(&self, target: &TargetId) -> TargetState {
+        let member = self.members.get(target);
+        if self.down.contains(target) || member == Some(&Member::Down) {
+            TargetState::Down
+        } else if member == Some(&Member::Leaving) && !fault::is_on(Fault::UseLeaving) {
+            TargetState::Leaving
+        } else {
+            TargetState::Ready
+        }
+    }
+
+    fn refresh(&mut self, target: &TargetId) {
+        let state = self.state(target);
+        self.planner.set_state(target, state);
     }
 
     /// Gives targets work again whose time has passed.
     pub fn tick(&mut self, now: Time) {
-        let planner = &mut self.planner;
+        let mut back = Vec::new();
         self.down.retain(|target, until| {
             let still_down = now < *until;
             if !still_down {
-                planner.set_state(target, TargetState::Ready);
+                back.push(target.clone());
             }
             still_down
         });
+        for target in back {
+            self.refresh(&target);
+        }
     }
 }
 
--- a/crates/coriandercove_entry/src/core/stream.rs
+++ b/crates/coriandercove_entry/src/core/stream.rs
@@ -6,6 +6,7 @@
 use coriandercove_peer::{Address, Feed, Frame, Hop, OpenStage, TokenFrame};
 use coriandercove_policy::chain::Chain;
 
+use super::fault::{self, Fault};
 use super::{CoreAction, CoreConfig, Router, StreamSpec};
 
 /// Bounds of the time without a token after which a chain counts as stalled.
@@ -53,6 +54,10 @@
     ask_again: Time,
     /// Targets that failed this stream, sorted.
     failed: Vec<TargetId>,
+    /// Whether a stage of any attempt can have run.
+    may_have_run: bool,
+    /// The same for the attempts before the current one.
+    ran_before: bool,
 }
 
 impl Stream {
@@ -68,9 +73,21 @@
             chain_yielded: false,
             ask_again: Time::MAX,
             failed: Vec::new(),
+            may_have_run: false,
+            ran_before: false,
         }
     }
 
+    /// Whether a stage of any attempt can have run.
+    pub const fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// The head proved that it did not open its stage, so nothing of this attempt can have run.
+    pub const fn head_refused(&mut self) {
+        self.may_have_run = self.ran_before;
+    }
+
     pub const fn req(&self) -> RequestId {
         self.spec.req
     }
@@ -168,6 +185,8 @@
     ) {
         router.begin(&chain);
         self.attempt += 1;
+        self.ran_before = self.may_have_run;
+        self.may_have_run = true;
         self.progress = now;
         self.chain_yielded = false;
         self.ask_again = Time::MAX;
@@ -223,7 +242,8 @@
 
     /// Accepts a token if it is the next one of the current attempt.
     pub fn accept(&mut self, now: Time, frame: &TokenFrame) -> bool {
-        if frame.attempt != self.attempt || frame.position != self.next_position() {
+        let any = fault::is_on(Fault::AcceptAnyPosition);
+        if frame.attempt != self.attempt || (frame.position != self.next_position() && !any) {
             return false;
         }
         self.emitted.push(frame.token);
--- a/crates/coriandercove_entry/src/http/completion.rs
+++ b/crates/coriandercove_entry/src/http/completion.rs
@@ -126,7 +126,7 @@
         Ok(Started::Whole(json)) => response("application/json", id)
             .body(json)
             .map_into_boxed_body(),
-        Ok(Started::Refused(reason)) => policy_refusal(&entry, id, &reason, Outcome::NotRun),
+        Ok(Started::Refused(reason, outcome)) => policy_refusal(&entry, id, &reason, outcome),
         Err(_) => {
             let message = "this entry shuts down";
             refusal(&entry, id, 503, "leaving", Outcome::NotRun, message)
--- a/crates/coriandercove_entry/src/runtime.rs
+++ b/crates/coriandercove_entry/src/runtime.rs
@@ -322,7 +322,8 @@
 
     fn set_entries(self: &Rc<Self>, entries: &[Address]) {
         let names: Vec<NodeId> = entries.iter().map(|e| e.node.clone()).collect();
-        self.core.borrow_mut().set_entries(&names);
+        let now = self.clock.now();
+        self.core.borrow_mut().set_entries(now, &names);
         self.set_claim_writers(entries, &names);
     }
 
@@ -380,12 +381,16 @@
                     self.core.borrow_mut().consumed(req, taken);
                 }
             }
-            CoreAction::Refuse { req, refusal } => {
+            CoreAction::Refuse {
+                req,
+                refusal,
+                outcome,
+            } => {
                 if let Some(waiter) = self.waiters.borrow_mut().remove(&req) {
                     if waiter.has_started() {
                         count(&self.refusals, "reason", refusal.reason.as_str());
                     }
-                    waiter.refuse(req, refusal);
+                    waiter.refuse(req, refusal, outcome);
                 }
             }
         }
--- a/crates/coriandercove_entry/src/runtime/waiter.rs
+++ b/crates/coriandercove_entry/src/runtime/waiter.rs
@@ -16,7 +16,7 @@
     /// The whole answer as JSON.
     Whole(String),
     /// No answer.
-    Refused(Refusal),
+    Refused(Refusal, Outcome),
 }
 
 /// A caller that waits for its answer.
@@ -88,7 +88,7 @@
     }
 
     /// Ends the answer without further tokens.
-    pub fn refuse(mut self, req: RequestId, refusal: Refusal) {
+    pub fn refuse(mut self, req: RequestId, refusal: Refusal, outcome: Outcome) {
         if self.has_started() {
             let body = policy_body(req, &refusal, Outcome::Unknown);
             let event = ResponseWriter::error_event(&body);
@@ -97,7 +97,7 @@
                 tokens: 0,
             });
         } else {
-            self.start(Started::Refused(refusal));
+            self.start(Started::Refused(refusal, outcome));
         }
     }
 
--- /dev/null
+++ b/crates/coriandercove_entry/tests/streams/callers.rs
@@ -0,0 +1,146 @@
+//! Callers with the oracle of their answers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coriandercove_base::{RequestId, Time, Token};
+use coriandercove_caller::Outcome;
+use coriandercove_entry::core::{CoreAction, StreamSpec};
+use coriandercove_policy::RefusalReason;
+use coriandercove_policy::explain::Refusal;
+use coriandercove_target::oracle::generate;
+
+use crate::nodes::{CREDIT, LAYERS};
+use crate::runner::violation;
+
+/// Chains that an entry tries before it gives a stream up.
+const MAX_ATTEMPTS: u32 = 12;
+
+pub struct Caller {
+    pub entry: usize,
+    pub spec: StreamSpec,
+    right: Vec<Token>,
+    emitted: usize,
+    pub consumed: u32,
+    pub slow: bool,
+    /// Chains that the entry has opened.
+    pub attempts: u32,
+    pub ended: bool,
+}
+
+#[derive(Default)]
+pub struct Callers {
+    pub by_req: BTreeMap<RequestId, Caller>,
+    /// Requests of which an engine has run anything.
+    pub ran: BTreeSet<RequestId>,
+    /// Requests refused as not run.
+    not_run: BTreeSet<RequestId>,
+    pub whole: u64,
+}
+
+impl Callers {
+    pub fn add(&mut self, entry: usize, spec: StreamSpec, slow: bool) {
+        let right = generate(&spec.prompt, LAYERS, spec.max_tokens as usize);
+        let caller = Caller {
+            entry,
+            right,
+            emitted: 0,
+            consumed: 0,
+            slow,
+            attempts: 0,
+            ended: false,
+            spec,
+        };
+        self.by_req.insert(caller.spec.req, caller);
+    }
+
+    /// Requests in progress.
+    pub fn open(&self) -> Vec<RequestId> {
+        let open = self.by_req.iter().filter(|(_, c)| !c.ended);
+        open.map(|(req, _)| *req).collect()
+    }
+
+    /// Callers that take a token now.
+    pub fn hungry(&self) -> Vec<RequestId> {
+        let hungry = |c: &Caller| !c.ended && !c.slow && (c.consumed as usize) < c.emitted;
+        let open = self.by_req.iter().filter(|(_, c)| hungry(c));
+        open.map(|(req, _)| *req).collect()
+    }
+
+    /// An engine ran a part of a request.
+    pub fn ran(&mut self, req: RequestId) {
+        self.ran.insert(req);
+        if self.not_run.contains(&req) {
+            violation("P3: a request that was refused as not run runs");
+        }
+    }
+
+    pub fn on_action(&mut self, now: Time, entry: usize, action: &CoreAction) {
+        match action {
+            CoreAction::Emit {
+                req,
+                tokens,
+                finished,
+            } => self.emit(entry, *req, tokens, *finished),
+            CoreAction::Refuse {
+                req,
+                refusal,
+                outcome,
+            } => self.refuse(now, entry, *req, *outcome, refusal),
+            _ => {}
+        }
+    }
+
+    fn caller(&mut self, entry: usize, req: RequestId) -> &mut Caller {
+        match self.by_req.get_mut(&req) {
+            Some(caller) if caller.entry == entry && !caller.ended => caller,
+            _ => violation("P2: an answer for a caller that has its answer"),
+        }
+    }
+
+    fn emit(&mut self, entry: usize, req: RequestId, tokens: &[Token], finished: bool) {
+        let caller = self.caller(entry, req);
+        for token in tokens {
+            if caller.right.get(caller.emitted) != Some(token) {
+                violation("P1, P2: a token that is not the next one of the oracle");
+            }
+            caller.emitted += 1;
+        }
+        if caller.emitted > (caller.consumed + CREDIT) as usize + 1 {
+            violation("more tokens than the caller's credit allows");
+        }
+        if finished != (caller.emitted == caller.right.len()) {
+            violation("P2: an answer ends before or after its last token");
+        }
+        if finished {
+            caller.ended = true;
+            self.whole += 1;
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        now: Time,
+        entry: usize,
+        req: RequestId,
+        outcome: Outcome,
+        refusal: &Refusal,
+    ) {
+        let ran = self.ran.contains(&req);
+        let caller = self.caller(entry, req);
+        caller.ended = true;
+        let late = now >= caller.spec.deadline
+            || (caller.emitted == 0 && now >= caller.spec.first_token_deadline);
+        let given_up = refusal.reason == RefusalReason::AttemptsFailed;
+        let may_give_up = late || (given_up && caller.attempts >= MAX_ATTEMPTS);
+        let started = caller.attempts > 0;
+        if started && !may_give_up {
+            violation("P2, P6: a stream that has started is cut off");
+        }
+        if outcome == Outcome::NotRun {
+            if ran || caller.emitted > 0 {
+                violation("P3: a request that ran is refused as not run");
+            }
+            self.not_run.insert(req);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_entry/tests/streams/main.rs
@@ -0,0 +1,28 @@
+//! Stateful fuzzing of the data path; see docs/testing.md, section "Streams".
+#![cfg_attr(
+    test,
+    expect(
+        clippy::unwrap_used,
+        clippy::print_stdout,
+        reason = "a failure ends the test with its place; figures are printed"
+    )
+)]
+
+#[cfg(test)]
+mod callers;
+#[cfg(test)]
+mod engine;
+#[cfg(test)]
+mod faults;
+#[cfg(test)]
+mod net;
+#[cfg(test)]
+mod nodes;
+#[cfg(test)]
+mod regressions;
+#[cfg(test)]
+mod runner;
+#[cfg(test)]
+mod steps;
+#[cfg(test)]
+mod world;
--- /dev/null
+++ b/crates/coriandercove_entry/tests/streams/regressions.rs
@@ -0,0 +1,1 @@
+//! Sequences of steps with which the fuzz test found faults.
