Fix faults of the data path that fuzzing found

- A stage whose entry had died was freed only if it sent to the entry itself, and not if the restarted entry opened another stream: the time of the loss is now kept for each stream, the stage that notices tells the other stages, and a stage ends with its request's deadline at the latest.
- A target taken out of the configuration never heard that its stages end; the stream now keeps the addresses of its chain.
- A new configuration made leaving and dead targets ready again.
- Each move of a stream lifted the credit by one token.
- A copy of OpenStage started a failed attempt again.
- A cancellation could overtake calls of the same request to the engine.

--- a/crates/coriandercove_agent/src/engine.rs
+++ b/crates/coriandercove_agent/src/engine.rs
@@ -1,5 +1,7 @@
 //! Feeds jobs to the engine in batches.
 
+mod order;
+
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -14,6 +16,7 @@
 use prometheus_client::metrics::counter::Counter;
 
 use crate::stage::{Job, JobOutcome};
+use order::Order;
 
 /// Limits of the calls to the engine.
 #[derive(Debug, Clone, Copy)]
@@ -36,6 +39,7 @@
     on_outcome: Rc<OnOutcome>,
     queue: RefCell<VecDeque<Job>>,
     in_flight: Cell<usize>,
+    order: RefCell<Order>,
     items: Counter,
     calls: Counter,
     failures: Counter,
@@ -56,6 +60,7 @@
             on_outcome,
             queue: RefCell::default(),
             in_flight: Cell::new(0),
+            order: RefCell::default(),
             items: metrics.counter("engine_items", "Items given to the engine"),
             calls: metrics.counter("engine_calls", "Forward calls to the engine"),
             failures: metrics.counter("engine_failures", "Forward calls that failed as a whole"),
@@ -68,13 +73,27 @@
         self.pump();
     }
 
-    /// Drops waiting jobs of a request and frees the engine's state for it.
-    pub fn free(&self, req: RequestId) {
+    /// Drops waiting jobs of a request and frees the engine's state for it, after the calls that
+    /// carry jobs of it and before jobs that are queued later.
+    pub fn free(self: &Rc<Self>, req: RequestId) {
         self.queue.borrow_mut().retain(|job| job.req != req);
+        if self.order.borrow_mut().free(req) {
+            self.cancel(req);
+        }
+    }
+
+    fn cancel(self: &Rc<Self>, req: RequestId) {
         let cancel = self.engine.cancel(format_request_id(req));
+        let driver = Rc::clone(self);
         actix_rt::spawn(async move {
             // An engine that does not answer evicts the sequence by itself when it needs memory.
-            let _ = cancel.await;
+            let _ = tokio::time::timeout(driver.limits.timeout, cancel).await;
+            let again = driver.order.borrow_mut().freed(req);
+            if again {
+                driver.cancel(req);
+            } else {
+                driver.pump();
+            }
         });
     }
 
@@ -94,7 +113,13 @@
             self.in_flight.set(self.in_flight.get() + 1);
             let driver = Rc::clone(self);
             actix_rt::spawn(async move {
-                driver.call(jobs).await;
+                driver.call(&jobs).await;
+                for job in &jobs {
+                    let free = driver.order.borrow_mut().ended(job.req);
+                    if free {
+                        driver.cancel(job.req);
+                    }
+                }
                 driver.in_flight.set(driver.in_flight.get() - 1);
                 driver.pump();
             });
@@ -103,11 +128,25 @@
 
     fn take_batch(&self) -> Vec<Job> {
         let mut queue = self.queue.borrow_mut();
-        let n = queue.len().min(self.limits.items);
-        queue.drain(..n).collect()
+        let mut order = self.order.borrow_mut();
+        let mut batch = Vec::new();
+        let mut held_back = VecDeque::new();
+        while batch.len() < self.limits.items
+            && let Some(job) = queue.pop_front()
+        {
+            if order.is_freeing(job.req) {
+                held_back.push_back(job);
+            } else {
+                order.started(job.req);
+                batch.push(job);
+            }
+        }
+        held_back.append(&mut queue);
+        *queue = held_back;
+        batch
     }
 
-    async fn call(&self, jobs: Vec<Job>) {
+    async fn call(&self, jobs: &[Job]) {
         self.calls.inc();
         self.items.inc_by(jobs.len() as u64);
         let req = ForwardRequest {
@@ -115,7 +154,7 @@
         };
         let call = tokio::time::timeout(self.limits.timeout, self.engine.forward(req));
         let outcomes = match call.await {
-            Ok(reply) => outcomes(&jobs, reply),
+            Ok(reply) => outcomes(jobs, reply),
             Err(_) => None,
         };
         if outcomes.is_none() {
--- a/crates/coriandercove_agent/src/runtime/service.rs
+++ b/crates/coriandercove_agent/src/runtime/service.rs
@@ -16,7 +16,7 @@
     /// Opens a stage, unless the target is no engine.
     pub(super) fn open_stage(&self, open: OpenStage) {
         if self.driver.get().is_some() {
-            self.stages.borrow_mut().open(open);
+            self.stages.borrow_mut().open(self.clock.now(), open);
         } else {
             count(&self.dropped, "reason", "not_an_engine");
         }
--- a/crates/coriandercove_agent/src/stage.rs
+++ b/crates/coriandercove_agent/src/stage.rs
@@ -131,8 +131,8 @@
     cancelled: HashMap<RequestId, (Attempt, Time)>,
     /// Sum over all streams of retained bytes.
     retained_bytes: usize,
-    /// Entries whose link is down, since when.
-    entries_down: HashMap<NodeId, Time>,
+    /// Time of the last event that came with one.
+    now: Time,
     leaving: bool,
     /// Streams opened so far.
     opened: u64,
@@ -149,7 +149,7 @@
             streams: HashMap::new(),
             cancelled: HashMap::new(),
             retained_bytes: 0,
-            entries_down: HashMap::new(),
+            now: Time::ZERO,
             leaving: false,
             opened: 0,
             actions: Vec::new(),
@@ -201,11 +201,11 @@
     }
 
     /// Opens a stage.
-    pub fn open(&mut self, open: OpenStage) {
+    pub fn open(&mut self, now: Time, open: OpenStage) {
+        self.now = now;
         if !open.is_valid() {
             return self.dropped.push(Dropped::InvalidChain);
         }
-        self.entries_down.remove(&open.entry.node);
         let req = open.req;
         if self
             .cancelled
@@ -236,7 +236,7 @@
             None
         };
         match refusal {
-            Some(reason) => self.actions.push(failure(&open, open.stage, reason)),
+            Some(reason) => self.fail(&open, reason),
             None => {
                 self.opened += 1;
                 let stream = Stream::new(open, self.opened, self.limits.prefill_chunk);
@@ -246,22 +246,39 @@
     }
 
     fn reopen(&mut self, stream: Stream, open: &OpenStage) {
+        if !stream.enters_like(open) {
+            // An engine keeps the layer at which a sequence enters for as long as it has state.
+            self.actions.push(StageAction::Free(open.req));
+        }
         match stream.reopened(open.clone()) {
             Ok(stream) => self.start(stream),
             Err(reason) => {
                 self.actions.push(StageAction::Free(open.req));
-                self.actions.push(failure(open, open.stage, reason));
+                self.fail(open, reason);
             }
         }
     }
 
+    /// Reports that the stage cannot go on. The attempt is over here, so that a copy of its
+    /// `OpenStage` does not start it again after the entry has heard of the failure.
+    fn fail(&mut self, open: &OpenStage, reason: StageFailureReason) {
+        self.remember_end(open.req, open.attempt);
+        self.actions.push(failure(open, open.stage, reason));
+    }
+
+    fn remember_end(&mut self, req: RequestId, attempt: Attempt) {
+        let ended = self.cancelled.entry(req).or_insert((attempt, self.now));
+        *ended = (ended.0.max(attempt), self.now);
+    }
+
     fn start(&mut self, mut stream: Stream) {
+        let deadline = stream.open().deadline;
+        stream.expires = self.now + deadline + self.limits.entry_grace;
         match stream.start(&mut self.actions) {
             Ok(()) => self.insert(stream.req(), stream),
             Err(reason) => {
                 self.actions.push(StageAction::Free(stream.req()));
-                self.actions
-                    .push(failure(stream.open(), stream.open().stage, reason));
+                self.fail(stream.open(), reason);
             }
         }
     }
@@ -283,6 +300,7 @@
     /// Lets the head run positions below `up_to`.
     pub fn credit(&mut self, req: RequestId, attempt: Attempt, up_to: Position) {
         self.with_stream(req, attempt, |stream, actions| {
+            stream.entry_lost = None;
             stream.credit(up_to, actions);
             Ok(())
         });
@@ -313,8 +331,7 @@
             Ok(()) => self.insert(req, stream),
             Err(reason) => {
                 self.actions.push(StageAction::Free(req));
-                self.actions
-                    .push(failure(stream.open(), stream.open().stage, reason));
+                self.fail(stream.open(), reason);
             }
         }
         self.drop_retained();
@@ -322,8 +339,8 @@
 
     /// Frees the stages of an attempt and of earlier ones.
     pub fn cancel(&mut self, now: Time, req: RequestId, attempt: Attempt) {
-        let remembered = self.cancelled.entry(req).or_insert((attempt, now));
-        remembered.0 = remembered.0.max(attempt);
+        self.now = now;
+        self.remember_end(req, attempt);
         if self
             .streams
             .get(&req)
@@ -336,17 +353,17 @@
     /// The link to a node closed. Streams that send to it fail; streams of an entry wait for it
     /// to come back for a while.
     pub fn link_down(&mut self, now: Time, node: &NodeId) {
-        let mut owns = false;
+        self.now = now;
         for stream in in_order(&self.streams) {
-            owns |= stream.open().entry.node == *node;
             if stream.next_node() == Some(node) {
                 let stage = stream.open().stage + 1;
                 let reason = StageFailureReason::NextStage;
                 self.actions.push(failure(stream.open(), stage, reason));
             }
         }
-        if owns {
-            self.entries_down.entry(node.clone()).or_insert(now);
+        let of_entry = |s: &&mut Stream| s.open().entry.node == *node;
+        for stream in self.streams.values_mut().filter(of_entry) {
+            stream.entry_lost.get_or_insert(now);
         }
     }
 
@@ -381,27 +398,38 @@
 
     /// Forgets what has expired.
     pub fn tick(&mut self, now: Time) {
+        self.now = now;
         self.cancelled
             .retain(|_, (_, at)| now.saturating_sub(*at) < CANCELLED_KEPT);
         let grace = self.limits.entry_grace;
-        let gone: Vec<NodeId> = self
-            .entries_down
-            .iter()
-            .filter(|(_, since)| now.saturating_sub(**since) >= grace)
-            .map(|(node, _)| node.clone())
+        let is_lost = |s: &Stream| s.entry_lost.is_some_and(|since| now - since >= grace);
+        let ended: Vec<_> = in_order(&self.streams)
+            .into_iter()
+            .filter(|s| is_lost(s) || s.expires <= now)
+            .map(Stream::req)
             .collect();
-        for node in gone {
-            self.entries_down.remove(&node);
-            let of_entry = |s: &Stream| s.open().entry.node == node;
-            let reqs: Vec<_> = in_order(&self.streams)
-                .into_iter()
-                .filter(|s| of_entry(s))
-                .map(Stream::req)
-                .collect();
-            for req in reqs {
-                self.free(req);
+        for req in ended {
+            self.abandon(req);
+        }
+    }
+
+    /// Frees a stream that its entry seems to have lost, here and at the other stages, of which
+    /// those in the middle have no link to the entry. An entry that lives moves the stream.
+    fn abandon(&mut self, req: RequestId) {
+        let Some(stream) = self.remove(req) else {
+            return;
+        };
+        let open = stream.open();
+        self.actions.push(StageAction::Free(req));
+        for (i, hop) in open.chain.iter().enumerate() {
+            if i != usize::from(open.stage) {
+                let attempt = open.attempt;
+                let cancel = Frame::CancelStage { req, attempt };
+                self.actions
+                    .push(StageAction::Send(hop.agent.clone(), cancel));
             }
         }
+        self.fail(open, StageFailureReason::StateLost);
     }
 
     fn free(&mut self, req: RequestId) {
--- a/crates/coriandercove_agent/src/stage/stream.rs
+++ b/crates/coriandercove_agent/src/stage/stream.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use coriandercove_base::{Attempt, NodeId, Position, RequestId, Token};
+use coriandercove_base::{Attempt, NodeId, Position, RequestId, Time, Token};
 use coriandercove_peer::{Activation, Feed, Frame, Hop, OpenStage, StageFailureReason, TokenFrame};
 use coriandercove_target::oracle::END_OF_SEQUENCE;
 
@@ -11,6 +11,10 @@
 
 /// State of one stage of one stream.
 pub struct Stream {
+    /// Time at which the stage is freed even if nobody cancels it.
+    pub expires: Time,
+    /// Since when the link to the entry is down, unless the entry has been heard of since.
+    pub entry_lost: Option<Time>,
     open: OpenStage,
     /// Order in which streams were opened here.
     serial: u64,
@@ -37,6 +41,8 @@
     pub fn new(open: OpenStage, serial: u64, prefill_chunk: usize) -> Self {
         let is_last = usize::from(open.stage) + 1 == open.chain.len();
         Self {
+            expires: Time::MAX,
+            entry_lost: None,
             serial,
             prefill_chunk: prefill_chunk.max(1),
             next_in: 0,
@@ -50,6 +56,11 @@
         }
     }
 
+    /// Whether inputs enter the same layer in a later attempt.
+    pub fn enters_like(&self, open: &OpenStage) -> bool {
+        self.hop().first_layer == open.chain[usize::from(open.stage)].first_layer
+    }
+
     /// The stage as a later attempt continues it, with the state that the attempt builds on.
     pub fn reopened(mut self, open: OpenStage) -> Result<Self, StageFailureReason> {
         let hop = &open.chain[usize::from(open.stage)];
@@ -70,6 +81,7 @@
         self.queue.clear();
         self.running = false;
         self.credit = 0;
+        self.entry_lost = None;
         self.open = open;
         Ok(self)
     }
@@ -119,7 +131,6 @@
             let inputs = chunk.iter().map(|t| u64::from(*t)).collect();
             self.enqueue(inputs, i == last);
         }
-        self.credit = self.credit.max(self.next_in);
         self.run_next(actions);
         Ok(())
     }
@@ -275,6 +286,7 @@
         } else {
             Position::MAX
         };
+        self.split_front(limit);
         let Some(job) = self.queue.front().filter(|job| job.position < limit) else {
             return;
         };
@@ -286,6 +298,25 @@
         actions.push(StageAction::Run(job));
     }
 
+    /// Lets the first job end at `limit`. A stream that moves brings tokens that the caller has not
+    /// taken, and the step after the last of them needs credit as any other.
+    fn split_front(&mut self, limit: Position) {
+        let Some(job) = self.queue.front_mut() else {
+            return;
+        };
+        let below = limit.saturating_sub(job.position) as usize;
+        if below == 0 || below >= job.inputs.len() {
+            return;
+        }
+        let rest = Job {
+            position: limit,
+            inputs: job.inputs.split_off(below),
+            ..job.clone()
+        };
+        job.sample = false;
+        self.queue.insert(1, rest);
+    }
+
     /// Drops retained outputs and returns how many bytes that freed.
     pub fn drop_retained(&mut self) -> usize {
         let bytes = self.retained_bytes();
--- a/crates/coriandercove_entry/src/core.rs
+++ b/crates/coriandercove_entry/src/core.rs
@@ -240,8 +240,9 @@
         }
     }
 
-    /// A token from the last stage of a chain.
-    pub fn token(&mut self, now: Time, frame: &TokenFrame) {
+    /// A token from the last stage of a chain, at agent `from`.
+    pub fn token(&mut self, now: Time, from: &Address, frame: &TokenFrame) {
+        self.cancel_old(from, frame);
         let crossed = self.crossed(frame);
         let frame = crossed.as_ref().unwrap_or(frame);
         let Some(stream) = self.streams.get_mut(&frame.req) else {
@@ -263,6 +264,17 @@
         }
     }
 
+    /// Frees a stage that goes on although its request or its attempt is over, because the frame
+    /// that cancelled it was lost or because this entry was restarted.
+    fn cancel_old(&mut self, from: &Address, frame: &TokenFrame) {
+        let (req, attempt) = (frame.req, frame.attempt);
+        let current = self.streams.get(&req).map_or(0, Stream::attempt);
+        if current != attempt && !frame.finished {
+            let cancel = Frame::CancelStage { req, attempt };
+            self.actions.push(CoreAction::Send(from.clone(), cancel));
+        }
+    }
+
     /// With the fault switched on, the frame as one of another stream that waits for it.
     fn crossed(&self, frame: &TokenFrame) -> Option<TokenFrame> {
         if !fault::is_on(Fault::CrossRequests) {
@@ -279,7 +291,7 @@
     /// The caller has taken `tokens` tokens in all; the head may go on accordingly.
     pub fn consumed(&mut self, req: RequestId, tokens: u32) {
         if let Some(stream) = self.streams.get_mut(&req) {
-            stream.consumed(tokens, &self.cfg, &self.router, &mut self.actions);
+            stream.consumed(tokens, &self.cfg, &mut self.actions);
         }
     }
 
--- a/crates/coriandercove_entry/src/core/recovery.rs
+++ b/crates/coriandercove_entry/src/core/recovery.rs
@@ -2,7 +2,7 @@
 
 use coriandercove_base::{Position, RequestId, Time};
 use coriandercove_caller::Outcome;
-use coriandercove_peer::{Frame, StageFailureReason};
+use coriandercove_peer::StageFailureReason;
 use coriandercove_policy::RefusalReason;
 use coriandercove_policy::chain::{Chain, ChainHop};
 use coriandercove_policy::explain::Refusal;
@@ -142,13 +142,7 @@
             if used {
                 continue;
             }
-            if let Some(to) = self.router.address(&hop.target) {
-                let cancel = Frame::CancelStage {
-                    req,
-                    attempt: stream.attempt(),
-                };
-                self.actions.push(CoreAction::Send(to, cancel));
-            }
+            self.actions.extend(stream.cancel_at(&hop.target));
         }
     }
 
--- a/crates/coriandercove_entry/src/core/router.rs
+++ b/crates/coriandercove_entry/src/core/router.rs
@@ -107,6 +107,8 @@
             TargetKind::Engine { accelerator } => {
                 if let Some(candidate) = candidate(config, target, accelerator) {
                     self.planner.upsert(candidate);
+                    // What is known of the target outlives a new configuration.
+                    self.refresh(&target.id);
                 }
             }
         }
--- a/crates/coriandercove_entry/src/core/stream.rs
+++ b/crates/coriandercove_entry/src/core/stream.rs
@@ -37,6 +37,9 @@
     spec: StreamSpec,
     /// The chain in use; none while the stream waits for admission or for a chain.
     chain: Option<Chain>,
+    /// Where the stages of the chain listen. Kept, because a new configuration can take a target
+    /// out while its stage has to be freed.
+    agents: Vec<Address>,
     /// Number of the chain in use; 0 before the first.
     attempt: Attempt,
     /// Tokens passed on to the caller, in order. Together with the prompt they are all that is
@@ -65,6 +68,7 @@
         Self {
             spec,
             chain: None,
+            agents: Vec::new(),
             attempt: 0,
             emitted: Vec::new(),
             consumed: 0,
@@ -192,7 +196,7 @@
         self.ask_again = Time::MAX;
         let hops = chain.hops.iter().zip(held).filter_map(|(hop, held)| {
             Some(Hop {
-                agent: router.address(&hop.target)?,
+                agent: self.agent(&hop.target).or_else(|| router.address(&hop.target))?,
                 first_layer: hop.first_layer,
                 end_layer: hop.end_layer,
                 held: *held,
@@ -200,6 +204,7 @@
         });
         let hops: Vec<Hop> = hops.collect();
         self.chain = Some(chain);
+        self.agents = hops.iter().map(|hop| hop.agent.clone()).collect();
         let Some(head) = hops.first().map(|hop| hop.agent.clone()) else {
             return;
         };
@@ -257,7 +262,6 @@
         &mut self,
         tokens: u32,
         cfg: &CoreConfig,
-        router: &Router,
         actions: &mut Vec<CoreAction>,
     ) {
         self.consumed = self.consumed.max(tokens);
@@ -266,8 +270,7 @@
         if wanted < self.granted + cfg.credit_tokens / 2 && wanted < self.end_position() {
             return;
         }
-        let head = self.chain.as_ref().and_then(|c| c.hops.first());
-        if let Some(head) = head.and_then(|hop| router.address(&hop.target)) {
+        if let Some(head) = self.chain.as_ref().and(self.agents.first()).cloned() {
             self.grant(cfg, &head, actions);
         }
     }
@@ -313,16 +316,24 @@
             return;
         };
         for hop in &chain.hops {
-            if let Some(to) = router.address(&hop.target) {
-                let cancel = Frame::CancelStage {
-                    req: self.spec.req,
-                    attempt: self.attempt,
-                };
-                actions.push(CoreAction::Send(to, cancel));
-            }
+            actions.extend(self.cancel_at(&hop.target));
         }
     }
 
+    /// Frees the stage at a target of the chain in use or last used.
+    pub fn cancel_at(&self, target: &TargetId) -> Option<CoreAction> {
+        let cancel = Frame::CancelStage {
+            req: self.spec.req,
+            attempt: self.attempt,
+        };
+        Some(CoreAction::Send(self.agent(target)?, cancel))
+    }
+
+    /// Where the agent of a target of the chain in use or last used listens.
+    fn agent(&self, target: &TargetId) -> Option<Address> {
+        self.agents.iter().find(|a| a.node == *target).cloned()
+    }
+
     /// Gives the chain up without telling its stages.
     pub fn release_chain(&mut self, router: &mut Router) -> Option<Chain> {
         let chain = self.chain.take()?;
--- a/crates/coriandercove_entry/src/runtime/handler.rs
+++ b/crates/coriandercove_entry/src/runtime/handler.rs
@@ -29,7 +29,7 @@
         };
         let now = entry.clock.now();
         match frame {
-            Frame::Token(token) => entry.core.borrow_mut().token(now, &token),
+            Frame::Token(token) => entry.core.borrow_mut().token(now, &from.address(), &token),
             Frame::StageFailed(failure) => entry.core.borrow_mut().stage_failed(now, &failure),
             Frame::CallReply(reply) => entry.calls.reply(*reply),
             Frame::TicketReply {
--- a/crates/coriandercove_entry/tests/streams/engine.rs
+++ b/crates/coriandercove_entry/tests/streams/engine.rs
@@ -46,8 +46,8 @@
         self.sequences.remove(&req);
     }
 
-    /// Runs a job. A position that is given twice in an epoch, or a position that skips others,
-    /// violates P1.
+    /// Runs a job, or refuses it as the engine protocol says. An engine that was restarted or that
+    /// has freed a sequence no longer knows its epoch, so calls of a dead agent can still run.
     pub fn run(&mut self, job: &Job) -> JobOutcome {
         if !(self.first..self.end).contains(&job.first_layer) {
             violation("P1: inputs enter a layer that the engine does not hold");
@@ -57,8 +57,8 @@
             return JobOutcome::Refused(ItemError::Failed);
         }
         let (layers, req) = (usize::from(self.end - job.first_layer), job.req);
-        if job.position > 0 && !self.sequences.contains_key(&req) {
-            return JobOutcome::Refused(ItemError::PositionGap { expected: 0 });
+        if let Err(error) = self.check(job) {
+            return JobOutcome::Refused(error);
         }
         let seq = self.sequences.entry(req).or_insert_with(|| Sequence {
             epoch: job.attempt,
@@ -66,21 +66,7 @@
             inputs: Vec::new(),
             states: vec![0; layers],
         });
-        if job.attempt < seq.epoch {
-            return JobOutcome::Refused(ItemError::StaleEpoch);
-        }
-        let expected = seq.inputs.len() as Position;
-        if job.position > expected {
-            violation("P1: an engine is given a position before an earlier one");
-        }
-        if job.attempt == seq.epoch && job.position < expected {
-            violation("P1: an engine is given a position twice within an epoch");
-        }
-        if job.position > 0 && job.first_layer != seq.first {
-            violation("P1: a sequence goes on at another layer");
-        }
-        (seq.epoch, seq.first) = (job.attempt, job.first_layer);
-        seq.states.resize(layers, 0);
+        seq.epoch = job.attempt;
         seq.truncate(job.position);
         let outputs: Vec<u64> = job.inputs.iter().map(|x| seq.push(*x)).collect();
         let last = outputs.last().copied().unwrap_or_default();
@@ -89,6 +75,28 @@
     }
 }
 
+impl Engine {
+    fn check(&self, job: &Job) -> Result<(), ItemError> {
+        let seq = self.sequences.get(&job.req);
+        let expected = seq.map_or(0, |s| s.inputs.len() as Position);
+        if let Some(seq) = seq {
+            if job.first_layer != seq.first {
+                return Err(ItemError::LayerNotHeld);
+            }
+            if job.attempt < seq.epoch {
+                return Err(ItemError::StaleEpoch);
+            }
+            if job.attempt == seq.epoch && job.position < expected {
+                return Err(ItemError::PositionRepeat { expected });
+            }
+        }
+        if job.position > expected {
+            return Err(ItemError::PositionGap { expected });
+        }
+        Ok(())
+    }
+}
+
 impl Sequence {
     fn truncate(&mut self, position: Position) {
         if position as usize >= self.inputs.len() {
--- a/crates/coriandercove_entry/tests/streams/nodes.rs
+++ b/crates/coriandercove_entry/tests/streams/nodes.rs
@@ -1,5 +1,6 @@
 //! Entries and agents of the test, and their configuration.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -86,6 +87,19 @@
     Free(RequestId),
 }
 
+impl Op {
+    pub const fn req(&self) -> RequestId {
+        match self {
+            Self::Run { job, .. } => job.req,
+            Self::Free(req) => *req,
+        }
+    }
+
+    const fn is_given_up(&self) -> bool {
+        matches!(self, Self::Run { given_up: true, .. })
+    }
+}
+
 pub type JobResult = (RequestId, Attempt, Position, JobOutcome);
 
 pub struct Agent {
@@ -99,6 +113,8 @@
     pub frozen: bool,
     /// Streams that had been opened when the agent began to leave.
     pub leaving: Option<u64>,
+    /// The position that each attempt of a stream has to run next.
+    pub next: HashMap<(RequestId, Attempt), Position>,
 }
 
 impl Agent {
@@ -113,9 +129,21 @@
             silent: None,
             frozen: false,
             leaving: None,
+            next: HashMap::new(),
         }
     }
 
+    /// Operations that the engine can take up now. The agent keeps the order of those of a
+    /// request, but a call that it has given up can run at any time.
+    pub fn ready_ops(&self) -> Vec<usize> {
+        let is_ready = |i: &usize| {
+            let op = &self.ops[*i];
+            let mut earlier = self.ops[..*i].iter();
+            op.is_given_up() || !earlier.any(|o| o.req() == op.req() && !o.is_given_up())
+        };
+        (0..self.ops.len()).filter(is_ready).collect()
+    }
+
     pub fn is_running(&self) -> bool {
         self.alive && !self.frozen
     }
@@ -128,6 +156,7 @@
         }
         self.stages = new_stages();
         self.results.clear();
+        self.next.clear();
         for op in &mut self.ops {
             if let Op::Run { given_up, .. } = op {
                 *given_up = true;
--- a/crates/coriandercove_entry/tests/streams/world.rs
+++ b/crates/coriandercove_entry/tests/streams/world.rs
@@ -4,7 +4,7 @@
 
 use coriandercove_agent::stage::{JobOutcome, StageAction};
 use coriandercove_base::rng::Rng;
-use coriandercove_base::{RequestId, Time};
+use coriandercove_base::{Position, RequestId, Time};
 use coriandercove_entry::core::{CoreAction, StreamSpec};
 use coriandercove_peer::Frame;
 
@@ -376,16 +376,16 @@
         }
         match self.net.take(from, to, &mut self.rng) {
             Some(Item::End) => self.saw_end(to, from),
-            Some(Item::Frame(frame)) if to < ENTRIES => self.to_entry(to, frame),
+            Some(Item::Frame(frame)) if to < ENTRIES => self.to_entry(from, to, frame),
             Some(Item::Frame(frame)) => self.to_agent(to - ENTRIES, frame),
             None => {}
         }
     }
 
-    fn to_entry(&mut self, e: usize, frame: Frame) {
+    fn to_entry(&mut self, from: Node, e: usize, frame: Frame) {
         let core = &mut self.entries[e].core;
         match frame {
-            Frame::Token(token) => core.token(self.now, &token),
+            Frame::Token(token) => core.token(self.now, &address(from), &token),
             Frame::StageFailed(failure) => core.stage_failed(self.now, &failure),
             _ => violation("a frame that is not for an entry"),
         }
@@ -396,7 +396,7 @@
         let now = self.now;
         let stages = &mut self.agents[a].stages;
         match frame {
-            Frame::OpenStage(open) => stages.open(*open),
+            Frame::OpenStage(open) => stages.open(now, *open),
             Frame::Feed(feed) => stages.feed(&feed),
             Frame::Activation(activation) => stages.activation(activation),
             Frame::Credit {
@@ -412,7 +412,8 @@
 
     fn engine_step(&mut self, a: usize) {
         let agent = &mut self.agents[a];
-        let i = below(&mut self.rng, agent.ops.len());
+        let ready = agent.ready_ops();
+        let i = ready[below(&mut self.rng, ready.len())];
         match agent.ops.remove(i) {
             Op::Free(req) => agent.engine.cancel(req),
             Op::Run { job, given_up, .. } => {
@@ -484,11 +485,18 @@
                 StageAction::Send(to, frame) => {
                     self.net.send(now, ENTRIES + a, node_of(&to), frame);
                 }
-                StageAction::Run(job) => agent.ops.push(Op::Run {
-                    job,
-                    at: now,
-                    given_up: false,
-                }),
+                StageAction::Run(job) => {
+                    let end = job.position + job.inputs.len() as Position;
+                    let next = agent.next.insert((job.req, job.attempt), end);
+                    if next.is_some_and(|next| next != job.position) {
+                        violation("P1: a stage skips or repeats a position within an attempt");
+                    }
+                    agent.ops.push(Op::Run {
+                        job,
+                        at: now,
+                        given_up: false,
+                    });
+                }
                 StageAction::Free(req) => {
                     // Jobs that no call has taken yet are dropped, those of a call go on.
                     let drop_waiting = below(&mut self.rng, 2) == 0;
