--- a/crates/coriandercove_entry/src/core/router.rs
+++ b/crates/coriandercove_entry/src/core/router.rs
@@ -220,8 +220,7 @@
     pub fn choose_replica(&mut self, service: &str, exclude: &[TargetId]) -> Option<Address> {
         let targets = self.services.get(service)?;
         self.turn = self.turn.wrapping_add(1);
-        let usable =
-            |t: &&TargetId| !exclude.contains(t) && self.state(t) == TargetState::Ready;
+        let usable = |t: &&TargetId| !exclude.contains(t) && self.state(t) == TargetState::Ready;
         let n = targets.len();
         let in_turn = (0..n).map(|i| &targets[(self.turn + i) % n]);
         in_turn
--- a/crates/coriandercove_entry/src/core/stream.rs
+++ b/crates/coriandercove_entry/src/core/stream.rs
@@ -196,7 +196,9 @@
         self.ask_again = Time::MAX;
         let hops = chain.hops.iter().zip(held).filter_map(|(hop, held)| {
             Some(Hop {
-                agent: self.agent(&hop.target).or_else(|| router.address(&hop.target))?,
+                agent: self
+                    .agent(&hop.target)
+                    .or_else(|| router.address(&hop.target))?,
                 first_layer: hop.first_layer,
                 end_layer: hop.end_layer,
                 held: *held,
@@ -258,12 +260,7 @@
     }
 
     /// The caller has taken `tokens` tokens in all.
-    pub fn consumed(
-        &mut self,
-        tokens: u32,
-        cfg: &CoreConfig,
-        actions: &mut Vec<CoreAction>,
-    ) {
+    pub fn consumed(&mut self, tokens: u32, cfg: &CoreConfig, actions: &mut Vec<CoreAction>) {
         self.consumed = self.consumed.max(tokens);
         let wanted = self.credit_wanted(cfg);
         // Credit is renewed in steps of half the window, so that it costs few frames.
--- a/crates/coriandercove_entry/tests/streams/world.rs
+++ b/crates/coriandercove_entry/tests/streams/world.rs
@@ -134,7 +134,9 @@
             req: self.requests,
             account: if prompt < 6 { "small" } else { "large" }.into(),
             model: "m".into(),
-            prompt: (0..prompt as u32).map(|i| i + 1 + 100 * self.requests as u32).collect(),
+            prompt: (0..prompt as u32)
+                .map(|i| i + 1 + 100 * self.requests as u32)
+                .collect(),
             max_tokens,
             priority: 4,
             deadline,
@@ -350,7 +352,11 @@
                 events.push(Event::Result(a));
             }
         }
-        let awake = |req: &RequestId| self.entries[self.callers.by_req[req].entry].frozen.is_none();
+        let awake = |req: &RequestId| {
+            self.entries[self.callers.by_req[req].entry]
+                .frozen
+                .is_none()
+        };
         let hungry = self.callers.hungry().into_iter().filter(awake);
         events.extend(hungry.map(Event::Consume));
         events
@@ -477,7 +483,10 @@
         }
         let told = &self.entries[e].told_leaving;
         let new = open.chain.iter().filter(|hop| hop.held == 0);
-        if new.into_iter().any(|hop| told.contains(&node_of(&hop.agent))) {
+        if new
+            .into_iter()
+            .any(|hop| told.contains(&node_of(&hop.agent)))
+        {
             violation("P5: an entry gives a leaving target new work");
         }
     }
