Find the stage that holds a stalled stream up and replace only that one

Before, a stall gave the whole chain up. The entry now asks all stages of the chain; agents answer with AskProgress/Progress frames. A stage that is not open or does not answer within 150 ms is replaced, its neighbours keep their state. If all answer, the entry waits up to 2 s, because the engines report hanging calls themselves: the agent fails calls after 8 times the expected time, 300 ms at least. Several lost stages are replaced in one move, a stage that lost its state is rebuilt at the same target, and the last stage reports the loss of the head.

--- a/crates/coriandercove_agent/src/engine.rs
+++ b/crates/coriandercove_agent/src/engine.rs
@@ -1,6 +1,7 @@
 //! Feeds jobs to the engine in batches.
 
 mod order;
+mod pace;
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -17,6 +18,7 @@
 
 use crate::stage::{Job, JobOutcome};
 use order::Order;
+use pace::Pace;
 
 /// Limits of the calls to the engine.
 #[derive(Debug, Clone, Copy)]
@@ -40,6 +42,7 @@
     queue: RefCell<VecDeque<Job>>,
     in_flight: Cell<usize>,
     order: RefCell<Order>,
+    pace: Cell<Pace>,
     items: Counter,
     calls: Counter,
     failures: Counter,
@@ -61,6 +64,7 @@
             queue: RefCell::default(),
             in_flight: Cell::new(0),
             order: RefCell::default(),
+            pace: Cell::default(),
             items: metrics.counter("engine_items", "Items given to the engine"),
             calls: metrics.counter("engine_calls", "Forward calls to the engine"),
             failures: metrics.counter("engine_failures", "Forward calls that failed as a whole"),
@@ -146,16 +150,31 @@
         batch
     }
 
+    /// Fails the jobs that wait for an engine that hangs, so that their streams move at once.
+    fn fail_waiting(&self) {
+        let waiting = std::mem::take(&mut *self.queue.borrow_mut());
+        for job in waiting {
+            (self.on_outcome)(job.req, job.attempt, job.position, JobOutcome::Failed);
+        }
+    }
+
     async fn call(&self, jobs: &[Job]) {
         self.calls.inc();
         self.items.inc_by(jobs.len() as u64);
         let req = ForwardRequest {
             items: jobs.iter().map(item).collect(),
         };
-        let call = tokio::time::timeout(self.limits.timeout, self.engine.forward(req));
-        let outcomes = match call.await {
-            Ok(reply) => outcomes(jobs, reply),
-            Err(_) => None,
+        let inputs = jobs.iter().map(|job| job.inputs.len()).sum();
+        let patience = self.pace.get().patience(inputs, self.limits.timeout);
+        let start = tokio::time::Instant::now();
+        let call = tokio::time::timeout(patience, self.engine.forward(req));
+        let outcomes = if let Ok(reply) = call.await {
+            let pace = self.pace.get().after(start.elapsed(), inputs);
+            self.pace.set(pace);
+            outcomes(jobs, reply)
+        } else {
+            self.fail_waiting();
+            None
         };
         if outcomes.is_none() {
             self.failures.inc();
--- a/crates/coriandercove_agent/src/runtime/handler.rs
+++ b/crates/coriandercove_agent/src/runtime/handler.rs
@@ -41,6 +41,10 @@
             Frame::CancelStage { req, attempt } => {
                 agent.stages.borrow_mut().cancel(now, req, attempt);
             }
+            Frame::AskProgress { req, attempt } => {
+                let from = from.address();
+                agent.stages.borrow_mut().ask_progress(from, req, attempt);
+            }
             Frame::Call(call) => agent.call(from.address(), *call),
             Frame::Probe { req, ticket } => agent.probe(&from.address(), req, &ticket),
             _ => count(&agent.dropped, "reason", "unexpected"),
--- a/crates/coriandercove_agent/src/stage.rs
+++ b/crates/coriandercove_agent/src/stage.rs
@@ -9,7 +9,7 @@
 
 use coriandercove_base::{Attempt, NodeId, Position, RequestId, Time, Token};
 use coriandercove_peer::{
-    Activation, Address, Feed, Frame, OpenStage, StageFailure, StageFailureReason,
+    Activation, Address, Feed, Frame, OpenStage, StageFailure, StageFailureReason, StageProgress,
 };
 use coriandercove_target::ItemError;
 
@@ -311,6 +311,24 @@
         });
     }
 
+    /// Tells an entry how far a stage has come.
+    pub fn ask_progress(&mut self, from: Address, req: RequestId, attempt: Attempt) {
+        let stream = self.streams.get_mut(&req);
+        let stream = stream.filter(|s| s.attempt() == attempt);
+        let progress = StageProgress {
+            req,
+            attempt,
+            open: stream.is_some(),
+            running: stream.as_ref().is_some_and(|s| s.is_running()),
+            next_out: stream.as_ref().map_or(0, |s| s.next_out()),
+        };
+        if let Some(stream) = stream {
+            stream.entry_lost = None;
+        }
+        self.actions
+            .push(StageAction::Send(from, Frame::Progress(progress)));
+    }
+
     /// The engine finished a job.
     pub fn job_done(
         &mut self,
@@ -360,8 +378,7 @@
     pub fn link_down(&mut self, now: Time, node: &NodeId) {
         self.now = now;
         for stream in in_order(&self.streams) {
-            if stream.next_node() == Some(node) {
-                let stage = stream.open().stage + 1;
+            if let Some(stage) = stream.sends_to(node) {
                 let reason = StageFailureReason::NextStage;
                 self.actions.push(failure(stream.open(), stage, reason));
             }
--- a/crates/coriandercove_agent/src/stage/stream.rs
+++ b/crates/coriandercove_agent/src/stage/stream.rs
@@ -353,8 +353,21 @@
         self.serial
     }
 
-    pub fn next_node(&self) -> Option<&NodeId> {
-        self.next_hop().map(|hop| &hop.agent.node)
+    /// The stage that gets outputs or sampled tokens of this one, if it runs at `node`.
+    pub fn sends_to(&self, node: &NodeId) -> Option<u16> {
+        let next = (self.open.stage + 1) % self.open.chain.len() as u16;
+        let is_there = self.open.chain[usize::from(next)].agent.node == *node;
+        (next != self.open.stage && is_there).then_some(next)
+    }
+
+    /// Whether the engine has inputs that it has not answered.
+    pub const fn is_running(&self) -> bool {
+        self.running
+    }
+
+    /// Next position that the stage gives out.
+    pub const fn next_out(&self) -> Position {
+        self.next_out
     }
 
     fn is_last(&self) -> bool {
--- a/crates/coriandercove_entry/src/core.rs
+++ b/crates/coriandercove_entry/src/core.rs
@@ -3,6 +3,7 @@
 
 pub mod fault;
 mod member;
+mod question;
 mod recovery;
 mod router;
 mod stream;
--- a/crates/coriandercove_entry/src/core/recovery.rs
+++ b/crates/coriandercove_entry/src/core/recovery.rs
@@ -7,6 +7,7 @@
 use coriandercove_policy::chain::{Chain, ChainHop};
 use coriandercove_policy::explain::Refusal;
 
+use super::question::{Verdict, verdict};
 use super::stream::Stream;
 use super::{Core, CoreAction, DOWN_FOR};
 
@@ -23,16 +24,17 @@
         label: &'static str,
         reason: StageFailureReason,
     ) {
-        // The target itself works, only the state that the attempt builds on is gone.
-        let keeps_target = matches!(
-            reason,
-            StageFailureReason::StateLost | StageFailureReason::ReplayUnavailable
-        );
-        if keeps_target {
-            self.move_stream(now, req, None, label);
-        } else {
-            self.move_stream(now, req, stage, label);
-        }
+        let lost = match (reason, stage) {
+            // The stage upstream cannot replay either, so nothing of the chain is of use.
+            (StageFailureReason::ReplayUnavailable, _) | (_, None) => Lost::default(),
+            (reason, Some(stage)) => Lost {
+                hops: vec![stage],
+                // The target itself works, only the state that the attempt builds on is gone.
+                may_reuse: reason == StageFailureReason::StateLost,
+                keep_others: true,
+            },
+        };
+        self.move_stream(now, req, &lost, label);
     }
 
     /// Moves a stream whose stage at index `hop` is lost.
@@ -43,7 +45,7 @@
         hop: u16,
         label: &'static str,
     ) {
-        self.move_stream(now, req, Some(hop), label);
+        self.move_stream(now, req, &Lost::hops(vec![hop]), label);
     }
 
     /// Notices stalls and passed deadlines, and finds chains for streams without one.
@@ -58,15 +60,17 @@
         for (req, check) in reqs {
             match check {
                 Check::Deadline => self.give_up(now, req, RefusalReason::DeadlinePassed),
-                Check::Stalled => self.move_stream(now, req, None, "stalled"),
-                Check::WantsChain => self.find_chain(now, req, None),
+                Check::Ask => self.ask(now, req),
+                Check::Replace(hops) => {
+                    self.move_stream(now, req, &Lost::hops(hops), "stalled");
+                }
+                Check::WantsChain => self.find_chain(now, req),
             }
         }
     }
 
-    /// Leaves the current chain and goes on at the next token on another one. `lost` is the index
-    /// of the stage to replace; without it the whole chain is given up.
-    fn move_stream(&mut self, now: Time, req: RequestId, lost: Option<u16>, label: &'static str) {
+    /// Leaves the current chain and goes on at the next token on another one.
+    fn move_stream(&mut self, now: Time, req: RequestId, lost: &Lost, label: &'static str) {
         let Some(stream) = self.streams.get_mut(&req) else {
             return;
         };
@@ -76,48 +80,58 @@
         let Some(old) = stream.release_chain(&mut self.router) else {
             return;
         };
-        let lost = lost.map(usize::from).filter(|i| *i < old.hops.len());
-        if let Some(i) = lost {
-            stream.exclude(old.hops[i].target.clone());
+        if !lost.may_reuse {
+            for hop in lost.hops.iter().filter_map(|i| old.hops.get(usize::from(*i))) {
+                stream.exclude(hop.target.clone());
+            }
         }
         self.actions.push(CoreAction::Retried(label));
-        let repair = lost.and_then(|i| self.repair(now, req, &old, i));
+        let repair = if lost.keep_others {
+            self.repair(now, req, &old, lost)
+        } else {
+            None
+        };
         self.cancel_unused(req, &old, repair.as_ref());
         match repair {
             Some((chain, held)) => self.start_on(now, req, chain, &held),
-            None => self.find_chain(now, req, lost.map(|i| old.hops[i].target.clone())),
+            None => self.find_chain(now, req),
         }
     }
 
-    /// A chain that keeps the surviving stages with their state and replaces one stage.
+    /// A chain that keeps the surviving stages with their state and replaces the lost ones.
     /// Only possible once a token has come, because only then all stages hold the same positions.
     fn repair(
         &mut self,
         now: Time,
         req: RequestId,
         old: &Chain,
-        lost: usize,
+        lost: &Lost,
     ) -> Option<(Chain, Vec<Position>)> {
         let stream = self.streams.get(&req)?;
-        if stream.emitted().is_empty() || old.hops.len() < 2 {
+        let is_lost = |i: usize, hop: &ChainHop| {
+            lost.hops.contains(&(i as u16)) || self.router.is_down(&hop.target)
+        };
+        let rebuild: Vec<bool> = (0..).zip(&old.hops).map(|(i, h)| is_lost(i, h)).collect();
+        if stream.emitted().is_empty() || !rebuild.contains(&false) {
             return None;
         }
         let held = stream.next_position() - 1;
         let mut need = stream.chain_request();
-        need.exclude
-            .extend(old.hops.iter().map(|h| h.target.clone()));
-        need.exclude.sort();
-        need.exclude.dedup();
-        let part = self
-            .router
-            .choose_part(&need, old, lost, now, &mut self.rng)
-            .ok()?;
+        let kept = old.hops.iter().zip(&rebuild).filter(|(_, r)| !**r || !lost.may_reuse);
+        need.exclude.extend(kept.map(|(hop, _)| hop.target.clone()));
         let mut hops: Vec<ChainHop> = Vec::new();
         let mut positions = Vec::new();
         for (i, hop) in old.hops.iter().enumerate() {
-            if i == lost {
+            if rebuild[i] {
+                need.exclude.sort();
+                need.exclude.dedup();
+                let part = self
+                    .router
+                    .choose_part(&need, old, i, now, &mut self.rng)
+                    .ok()?;
+                need.exclude.extend(part.hops.iter().map(|h| h.target.clone()));
                 positions.extend(part.hops.iter().map(|_| 0));
-                hops.extend(part.hops.iter().cloned());
+                hops.extend(part.hops);
             } else {
                 positions.push(held);
                 hops.push(hop.clone());
@@ -160,12 +174,7 @@
     }
 
     /// Starts the stream on a new chain, or lets it wait for one.
-    fn find_chain(
-        &mut self,
-        now: Time,
-        req: RequestId,
-        _lost: Option<coriandercove_base::TargetId>,
-    ) {
+    fn find_chain(&mut self, now: Time, req: RequestId) {
         let Some(stream) = self.streams.get_mut(&req) else {
             return;
         };
@@ -203,9 +212,31 @@
     }
 }
 
+/// Which part of a chain is lost. By default the whole chain is given up.
+#[derive(Default)]
+struct Lost {
+    /// Indices of the stages to replace.
+    hops: Vec<u16>,
+    /// Whether the same targets may rebuild them.
+    may_reuse: bool,
+    /// Whether the other stages go on with their state.
+    keep_others: bool,
+}
+
+impl Lost {
+    const fn hops(hops: Vec<u16>) -> Self {
+        Self {
+            hops,
+            may_reuse: false,
+            keep_others: true,
+        }
+    }
+}
+
 enum Check {
     Deadline,
-    Stalled,
+    Ask,
+    Replace(Vec<u16>),
     WantsChain,
 }
 
@@ -213,7 +244,11 @@
     if stream.attempt() > 0 && stream.deadline_passed(now) {
         Some(Check::Deadline)
     } else if stream.stalled(now) {
-        Some(Check::Stalled)
+        match verdict(stream, now) {
+            Verdict::Ask => Some(Check::Ask),
+            Verdict::Wait => None,
+            Verdict::Replace(hops) => Some(Check::Replace(hops)),
+        }
     } else if stream.wants_chain(now) {
         Some(if stream.deadline_passed(now) {
             Check::Deadline
--- a/crates/coriandercove_entry/src/core/router.rs
+++ b/crates/coriandercove_entry/src/core/router.rs
@@ -254,6 +254,12 @@
         }
     }
 
+    /// Whether a target is out of reach as far as this entry knows.
+    #[must_use]
+    pub fn is_down(&self, target: &TargetId) -> bool {
+        self.state(target) == TargetState::Down
+    }
+
     /// Takes in what membership says of a target.
     pub fn set_member(&mut self, node: &NodeId, member: Member) {
         if member == Member::Ready {
--- a/crates/coriandercove_entry/src/core/stream.rs
+++ b/crates/coriandercove_entry/src/core/stream.rs
@@ -7,6 +7,7 @@
 use coriandercove_policy::chain::Chain;
 
 use super::fault::{self, Fault};
+use super::question::Question;
 use super::{CoreAction, CoreConfig, Router, StreamSpec};
 
 /// Bounds of the time without a token after which a chain counts as stalled.
@@ -57,6 +58,8 @@
     ask_again: Time,
     /// Targets that failed this stream, sorted.
     failed: Vec<TargetId>,
+    /// The question to the stages of a chain that has stalled.
+    pub question: Option<Question>,
     /// Whether a stage of any attempt can have run.
     may_have_run: bool,
     /// The same for the attempts before the current one.
@@ -77,6 +80,7 @@
             chain_yielded: false,
             ask_again: Time::MAX,
             failed: Vec::new(),
+            question: None,
             may_have_run: false,
             ran_before: false,
         }
@@ -192,6 +196,7 @@
         self.ran_before = self.may_have_run;
         self.may_have_run = true;
         self.progress = now;
+        self.question = None;
         self.chain_yielded = false;
         self.ask_again = Time::MAX;
         let hops = chain.hops.iter().zip(held).filter_map(|(hop, held)| {
@@ -255,6 +260,7 @@
         }
         self.emitted.push(frame.token);
         self.progress = now;
+        self.question = None;
         self.chain_yielded = true;
         true
     }
@@ -307,6 +313,22 @@
         now.saturating_sub(self.progress) > allowance
     }
 
+    /// Whether the chain has stalled for so long that it is given up although its stages answer.
+    pub fn is_overdue(&self, now: Time) -> bool {
+        let first = self.chain.as_ref().map_or(Duration::ZERO, |c| c.first_token);
+        let limit = if self.chain_yielded {
+            MAX_STALL
+        } else {
+            MAX_STALL + first * STALL_FACTOR
+        };
+        now.saturating_sub(self.progress) > limit
+    }
+
+    /// Where the stages of the chain in use listen.
+    pub fn agents(&self) -> &[Address] {
+        &self.agents
+    }
+
     /// Frees the stages of the current chain.
     pub fn cancel_stages(&mut self, router: &mut Router, actions: &mut Vec<CoreAction>) {
         let Some(chain) = self.release_chain(router) else {
--- a/crates/coriandercove_entry/src/runtime/handler.rs
+++ b/crates/coriandercove_entry/src/runtime/handler.rs
@@ -31,6 +31,10 @@
         match frame {
             Frame::Token(token) => entry.core.borrow_mut().token(now, &from.address(), &token),
             Frame::StageFailed(failure) => entry.core.borrow_mut().stage_failed(now, &failure),
+            Frame::Progress(progress) => {
+                entry.core.borrow_mut().progress(&from.node, &progress);
+            }
+            Frame::Leaving => entry.core.borrow_mut().member_leaving(now, &from.node),
             Frame::CallReply(reply) => entry.calls.reply(*reply),
             Frame::TicketReply {
                 req,
--- a/crates/coriandercove_peer/src/frame.rs
+++ b/crates/coriandercove_peer/src/frame.rs
@@ -95,6 +95,15 @@
         Ping,
         /// Answer to [`Frame::Ping`].
         Pong,
+        /// Asks an agent for the [`Frame::Progress`] of a stage.
+        AskProgress {
+            /// The request.
+            req: RequestId,
+            /// The attempt.
+            attempt: Attempt,
+        },
+        /// How far a stage has come.
+        Progress(StageProgress),
     }
 
     /// One stage of a chain.
@@ -183,6 +192,21 @@
         pub reason: StageFailureReason,
     }
 
+    /// How far a stage has come; answer to [`Frame::AskProgress`].
+    #[derive(Copy, Eq)]
+    pub struct StageProgress {
+        /// The request.
+        pub req: RequestId,
+        /// The attempt that was asked for.
+        pub attempt: Attempt,
+        /// Whether the stage is open in this attempt.
+        pub open: bool,
+        /// Whether the engine has inputs of the stage that it has not answered.
+        pub running: bool,
+        /// Next position that the stage gives out.
+        pub next_out: Position,
+    }
+
     /// Why a stage cannot go on.
     #[derive(Copy, Eq)]
     pub enum StageFailureReason {
--- a/crates/coriandercove_peer/src/lib.rs
+++ b/crates/coriandercove_peer/src/lib.rs
@@ -11,6 +11,6 @@
 pub use codec::{CodecError, MAX_FRAME_BYTES};
 pub use frame::{
     Activation, Call, CallOutcome, CallReply, Feed, Frame, Hop, OpenStage, StageFailure,
-    StageFailureReason, TokenFrame,
+    StageFailureReason, StageProgress, TokenFrame,
 };
 pub use link::{Address, LinkConfig, LinkHandler, Links, PeerInfo, Role, SendError};
