Take the slots of an entry from the planner

Cause: the planner's concurrency() was replaced by own_slots(), so the entry no longer compiled after the merge of policy. Change: the router asks own_slots() with the time of its last tick. Before: error E0599 in core/router.rs. After: cargo build of the workspace succeeds.

--- a/crates/coriandercove_entry/src/core/router.rs
+++ b/crates/coriandercove_entry/src/core/router.rs
@@ -34,6 +34,8 @@
     entries: usize,
     /// Turns through the replicas of a service.
     turn: usize,
+    /// Time of the last tick or configuration.
+    now: Time,
 }
 
 impl Router {
@@ -49,11 +51,13 @@
             down: SortedMap::new(),
             entries: 1,
             turn: 0,
+            now: Time::ZERO,
         }
     }
 
     /// Replaces models, targets and links by those of a configuration.
-    pub fn set_config(&mut self, _now: Time, config: &Config) {
+    pub fn set_config(&mut self, now: Time, config: &Config) {
+        self.now = now;
         let old: Vec<TargetId> = self.addresses.keys().cloned().collect();
         for target in old.iter().filter(|t| config.target(t).is_none()) {
             self.planner.remove(target);
@@ -111,11 +115,7 @@
     /// Requests that each model takes at once from this entry.
     #[must_use]
     pub fn slots(&self) -> Vec<(ModelId, u32)> {
-        let share = |model: &ModelId| {
-            self.planner
-                .concurrency(model)
-                .div_ceil(self.entries as u32)
-        };
+        let share = |model: &ModelId| self.planner.own_slots(model, self.entries, self.now);
         self.models.keys().map(|m| (m.clone(), share(m))).collect()
     }
 
@@ -243,6 +243,7 @@
 
     /// Gives targets work again whose time has passed.
     pub fn tick(&mut self, now: Time) {
+        self.now = now;
         let planner = &mut self.planner;
         self.down.retain(|target, until| {
             let still_down = now < *until;
