Keep claims in the platform's store

Cause: the entry had no store, so every keyed call that must not repeat was refused. Change: coriandercove_node carries out the store calls of the state machines over platform::Store; the entry's PlatformClaims uses it; the local deployment starts the store stand-in. A write whose answer may be lost is Lost, a call without effect is Unavailable.

--- a/crates/coriandercove_entry/src/runtime.rs
+++ b/crates/coriandercove_entry/src/runtime.rs
@@ -1,6 +1,7 @@
 //! The running entry: connects callers, links and the core.
 
 mod calls;
+mod claims;
 mod handler;
 mod once;
 mod waiter;
@@ -18,6 +19,7 @@
 use coriandercove_config::{Config, Pipeline};
 use coriandercove_peer::link::Shaper;
 use coriandercove_peer::{Address, ClusterKey, Frame, LinkConfig, Links, PeerInfo};
+use coriandercove_platform::Store;
 use coriandercove_state::once::OnceSettings;
 use slog::Logger;
 
@@ -26,6 +28,7 @@
 use crate::http::server_limits;
 use crate::view::ConfigView;
 use calls::Calls;
+pub use claims::PlatformClaims;
 use handler::Handler;
 use once::OnceCalls;
 pub use once::{ClaimStore, NoStore};
@@ -111,6 +114,12 @@
         self
     }
 
+    /// Keeps claims in the platform's store.
+    #[must_use]
+    pub fn with_platform_store(self, store: Rc<dyn Store>) -> Self {
+        self.with_store(Rc::new(PlatformClaims(store)))
+    }
+
     /// Seeds the choices, for tests and measurements.
     #[must_use]
     pub const fn with_seed(mut self, seed: u64) -> Self {
--- a/crates/coriandercove_local/src/deployment.rs
+++ b/crates/coriandercove_local/src/deployment.rs
@@ -8,6 +8,7 @@
 use coriandercove_peer::{Address, ClusterKey, PeerInfo, Role as PeerRole};
 use coriandercove_standin::engine::{self, CostModel, EngineSettings};
 use coriandercove_standin::service::{self, Effects, ServiceSettings};
+use coriandercove_standin::store::{self, StoreHandle, StoreSettings};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use snafu::{ResultExt, Snafu};
@@ -50,6 +51,8 @@
     pub agents: Vec<AgentRole>,
     /// Effects of all replicas of the plain service.
     pub effects: Effects,
+    /// The object store.
+    pub store: StoreHandle,
     config: Config,
     version: ConfigVersion,
     caller_key: String,
@@ -69,8 +72,13 @@
         let mut account = account("workshop");
         account.keys.push(new_key.hash);
         config.accounts.push(account);
+        let store = store::start(StoreSettings {
+            seed: plan.seed,
+            ..StoreSettings::default()
+        });
         let mut deployment = Self {
             key,
+            store: store.context(StartStandinSnafu { name: "store" })?,
             entries: Vec::new(),
             agents: Vec::new(),
             effects: Effects::default(),
@@ -159,7 +167,7 @@
             callers.set_port(self.plan.first_port + i as u16);
         }
         let seed = self.plan.seed.wrapping_mul(1000).wrapping_add(i as u64);
-        let entry = EntryRole::start(own, self.key.clone(), callers, Some(seed));
+        let entry = EntryRole::start(own, self.key.clone(), callers, self.store.url(), Some(seed));
         self.entries.push(entry.context(StartRoleSnafu)?);
         Ok(())
     }
--- a/crates/coriandercove_local/src/entry.rs
+++ b/crates/coriandercove_local/src/entry.rs
@@ -6,6 +6,7 @@
 use coriandercove_base::telemetry::discard;
 use coriandercove_config::Config;
 use coriandercove_entry::{Entry, EntryConfig};
+use coriandercove_node::store::http_store;
 use coriandercove_peer::{Address, ClusterKey, PeerInfo};
 
 use crate::role::{Lifecycle, Role, RoleError};
@@ -31,7 +32,7 @@
 }
 
 impl EntryRole {
-    /// Starts an entry that serves callers at `callers`.
+    /// Starts an entry that serves callers at `callers` and uses the store at the URL `store`.
     ///
     /// # Errors
     /// [`RoleError`] if it does not start.
@@ -39,11 +40,13 @@
         own: PeerInfo,
         key: ClusterKey,
         callers: SocketAddr,
+        store: String,
         seed: Option<u64>,
     ) -> Result<Self, RoleError> {
         let name = own.node.to_string();
         let start = move || async move {
-            let mut cfg = EntryConfig::new(own, key, callers, discard());
+            let mut cfg = EntryConfig::new(own, key, callers, discard())
+                .with_platform_store(http_store(&store));
             if let Some(seed) = seed {
                 cfg = cfg.with_seed(seed);
             }
--- /dev/null
+++ b/crates/coriandercove_node/src/lib.rs
@@ -0,0 +1,3 @@
+//! Runtime parts that entry and agent share.
+
+pub mod store;
