--- a/crates/coriandercove_entry/src/core.rs
+++ b/crates/coriandercove_entry/src/core.rs
@@ -130,7 +130,7 @@
 
     /// Puts a configuration in force.
     pub fn set_config(&mut self, now: Time, config: &Config) {
-        self.router.set_config(now, config);
+        self.router.set_config(config);
         for account in &config.accounts {
             let limits = AccountLimits {
                 weight: f64::from(account.weight),
--- a/crates/coriandercove_entry/src/core/recovery.rs
+++ b/crates/coriandercove_entry/src/core/recovery.rs
@@ -81,7 +81,11 @@
             return;
         };
         if !lost.may_reuse {
-            for hop in lost.hops.iter().filter_map(|i| old.hops.get(usize::from(*i))) {
+            for hop in lost
+                .hops
+                .iter()
+                .filter_map(|i| old.hops.get(usize::from(*i)))
+            {
                 stream.exclude(hop.target.clone());
             }
         }
@@ -117,7 +121,11 @@
         }
         let held = stream.next_position() - 1;
         let mut need = stream.chain_request();
-        let kept = old.hops.iter().zip(&rebuild).filter(|(_, r)| !**r || !lost.may_reuse);
+        let kept = old
+            .hops
+            .iter()
+            .zip(&rebuild)
+            .filter(|(_, r)| !**r || !lost.may_reuse);
         need.exclude.extend(kept.map(|(hop, _)| hop.target.clone()));
         let mut hops: Vec<ChainHop> = Vec::new();
         let mut positions = Vec::new();
@@ -129,7 +137,8 @@
                     .router
                     .choose_part(&need, old, i, now, &mut self.rng)
                     .ok()?;
-                need.exclude.extend(part.hops.iter().map(|h| h.target.clone()));
+                need.exclude
+                    .extend(part.hops.iter().map(|h| h.target.clone()));
                 positions.extend(part.hops.iter().map(|_| 0));
                 hops.extend(part.hops);
             } else {
--- a/crates/coriandercove_entry/src/core/router.rs
+++ b/crates/coriandercove_entry/src/core/router.rs
@@ -68,7 +68,7 @@
     }
 
     /// Replaces models, targets and links by those of a configuration.
-    pub fn set_config(&mut self, _now: Time, config: &Config) {
+    pub fn set_config(&mut self, config: &Config) {
         let old: Vec<TargetId> = self.addresses.keys().cloned().collect();
         for target in old.iter().filter(|t| config.target(t).is_none()) {
             self.planner.remove(target);
--- a/crates/coriandercove_entry/src/core/stream.rs
+++ b/crates/coriandercove_entry/src/core/stream.rs
@@ -315,7 +315,10 @@
 
     /// Whether the chain has stalled for so long that it is given up although its stages answer.
     pub fn is_overdue(&self, now: Time) -> bool {
-        let first = self.chain.as_ref().map_or(Duration::ZERO, |c| c.first_token);
+        let first = self
+            .chain
+            .as_ref()
+            .map_or(Duration::ZERO, |c| c.first_token);
         let limit = if self.chain_yielded {
             MAX_STALL
         } else {
