--- a/crates/coriandercove_state/src/membership/cost.rs
+++ b/crates/coriandercove_state/src/membership/cost.rs
@@ -46,10 +46,10 @@
     pub entries: Vec<RegionCost>,
     /// Agents, by region.
     pub agents: Vec<RegionCost>,
-    /// Time from an agent's last heartbeat until all entries hold it for suspect, dead or
+    /// Time from the stop of an agent until all entries hold it for suspect, dead or
     /// unreachable; `None` if that did not happen in the run.
     pub suspect_everywhere: Option<Duration>,
-    /// Time from an agent's last heartbeat until all entries hold it for dead.
+    /// Time from the stop of an agent until all entries hold it for dead.
     pub dead_everywhere: Option<Duration>,
     /// Time from an agent's announcement until all entries know that it leaves.
     pub leaving_everywhere: Option<Duration>,
