--- a/crates/coriandercove_bench/src/scenario/steady.rs
+++ b/crates/coriandercove_bench/src/scenario/steady.rs
@@ -145,31 +145,33 @@
     })
 }
 
-/// Goodput at 1, 2 and 5 times the bound.
+/// Goodput at 1, 2 and 5 times the bound. An answer counts if it is whole and right and its first
+/// token came within 0.7 s, which is the `first_token_deadline` of the pipeline. Goodput without
+/// that limit is among the figures.
 pub fn overload(cx: &Context) -> Result<Outcome, BenchError> {
     let mut figures = serde_json::Map::new();
-    let mut goodput = Vec::new();
-    let mut sound = true;
+    let mut records = Vec::new();
     for factor in [1.0, 2.0, 5.0] {
         let deployment = deployment(cx, Fleet::Mixed)?;
         let rate = answers(cx, &deployment) * factor;
         let record = cx.load(&deployment, Arrivals::Open(rate)).run()?;
-        goodput.push((
-            record.goodput_per_second(),
-            record.timely_goodput_per_second(),
-        ));
-        sound &= record.is_sound();
         figures.insert(format!("{factor}x"), record.figures());
+        records.push(record);
     }
-    let share = |i: usize| goodput[i].0 / goodput[0].0.max(1.0);
-    figures.insert("share_2x".to_owned(), json!(round(share(1))));
-    figures.insert("share_5x".to_owned(), json!(round(share(2))));
-    let timely = goodput[2].1 / goodput[0].1.max(1.0);
-    figures.insert("timely_share_5x".to_owned(), json!(round(timely)));
+    let share = |i: usize, goodput: fn(&Record) -> f64| {
+        round(goodput(&records[i]) / goodput(&records[0]).max(1.0))
+    };
+    for (name, i) in [("2x", 1), ("5x", 2)] {
+        let timely = share(i, Record::timely_goodput_per_second);
+        figures.insert(format!("share_{name}"), json!(timely));
+        let untimed = share(i, Record::goodput_per_second);
+        figures.insert(format!("untimed_share_{name}"), json!(untimed));
+    }
+    let sound = records.iter().all(Record::is_sound);
     Ok(Outcome {
         figures: figures.into(),
-        target: "goodput at 5x >= 0.95 of goodput at 1x".to_owned(),
-        pass: share(2) >= 0.95 && sound,
+        target: "goodput (first token within 0.7 s) at 5x >= 0.95 of that at 1x".to_owned(),
+        pass: share(2, Record::timely_goodput_per_second) >= 0.95 && sound,
     })
 }
 
