--- a/crates/coriandercove_entry/src/core.rs
+++ b/crates/coriandercove_entry/src/core.rs
@@ -21,10 +21,11 @@
     AccountLimits, Admission, AdmissionAction, AdmissionConfig, Admitted, Arrival,
 };
 use coriandercove_policy::explain::Refusal;
+use coriandercove_policy::retry::{RetryConfig, RetryPolicy};
 
 use fault::Fault;
 pub use router::Router;
-use stream::Stream;
+use stream::{CHAIN_RETRY, Stream};
 
 /// Time for which a target whose link failed gets no new work.
 const DOWN_FOR: Duration = Duration::from_secs(1);
@@ -94,6 +95,7 @@
     router: Router,
     admission: Admission,
     streams: HashMap<RequestId, Stream>,
+    retry: RetryPolicy,
     rng: Rng,
     actions: Vec<CoreAction>,
 }
@@ -118,6 +120,7 @@
             router,
             admission,
             streams: HashMap::new(),
+            retry: RetryPolicy::new(RetryConfig::default()),
             rng,
             actions: Vec::new(),
         }
@@ -188,6 +191,7 @@
             };
             return self.refuse(spec.req, refusal, Outcome::NotRun);
         }
+        self.retry.on_request(now);
         let arrival = self.arrival(&spec);
         let req = spec.req;
         match self.admission.offer(now, arrival) {
@@ -235,7 +239,7 @@
                 self.give_up(now, req, none.reason);
             }
             Err(_) => {
-                stream.wait_for_chain(now);
+                stream.wait_for_chain(now, CHAIN_RETRY);
                 self.streams.insert(req, stream);
             }
         }
--- a/crates/coriandercove_entry/src/core/question.rs
+++ b/crates/coriandercove_entry/src/core/question.rs
@@ -50,7 +50,11 @@
             let behind = agents.iter().filter_map(busy).min();
             return Verdict::Replace(indices(agents, |a| behind.is_some() && busy(a) == behind));
         }
-        if has_time { Verdict::Wait } else { Verdict::Ask }
+        if has_time {
+            Verdict::Wait
+        } else {
+            Verdict::Ask
+        }
     }
 }
 
--- a/crates/coriandercove_entry/src/core/recovery.rs
+++ b/crates/coriandercove_entry/src/core/recovery.rs
@@ -1,16 +1,22 @@
 //! Moving streams to other chains.
 
+use std::time::Duration;
+
 use coriandercove_base::{Position, RequestId, Time};
 use coriandercove_caller::Outcome;
 use coriandercove_peer::StageFailureReason;
 use coriandercove_policy::RefusalReason;
 use coriandercove_policy::chain::{Chain, ChainHop};
 use coriandercove_policy::explain::Refusal;
+use coriandercove_policy::retry::{FailedAttempt, Failure};
 
 use super::question::{Verdict, verdict};
-use super::stream::Stream;
+use super::stream::{CHAIN_RETRY, Stream};
 use super::{Core, CoreAction, DOWN_FOR};
 
+/// Wait of a stream whose further move the retry budget does not allow, so that streams that fail
+/// everywhere do not load the targets with prefills.
+const MOVE_BACKOFF: Duration = Duration::from_millis(500);
 /// Chains tried for one stream. Each failure excludes a target, so more would try hopeless ones.
 const MAX_ATTEMPTS: u32 = 12;
 
@@ -80,13 +86,20 @@
         let Some(old) = stream.release_chain(&mut self.router) else {
             return;
         };
+        let is_first = stream.count_move();
+        let deadline = stream.deadline();
         if !lost.may_reuse {
-            for hop in lost.hops.iter().filter_map(|i| old.hops.get(usize::from(*i))) {
+            for hop in lost
+                .hops
+                .iter()
+                .filter_map(|i| old.hops.get(usize::from(*i)))
+            {
                 stream.exclude(hop.target.clone());
             }
         }
         self.actions.push(CoreAction::Retried(label));
-        let repair = if lost.keep_others {
+        let at_once = is_first || self.may_move_again(now, deadline);
+        let repair = if at_once && lost.keep_others {
             self.repair(now, req, &old, lost)
         } else {
             None
@@ -94,10 +107,27 @@
         self.cancel_unused(req, &old, repair.as_ref());
         match repair {
             Some((chain, held)) => self.start_on(now, req, chain, &held),
-            None => self.find_chain(now, req),
+            None if at_once => self.find_chain(now, req),
+            None => {
+                if let Some(stream) = self.streams.get_mut(&req) {
+                    stream.wait_for_chain(now, MOVE_BACKOFF);
+                }
+            }
         }
     }
 
+    /// Whether the retry budget allows a further move before the stream has got a token. A stream
+    /// whose move is not allowed waits and is not given up.
+    fn may_move_again(&mut self, now: Time, deadline: Time) -> bool {
+        let attempt = FailedAttempt {
+            failure: Failure::Unknown,
+            repeatable: true,
+            attempts: 1,
+            deadline,
+        };
+        self.retry.decide(now, &attempt, &mut self.rng).is_ok()
+    }
+
     /// A chain that keeps the surviving stages with their state and replaces the lost ones.
     /// Only possible once a token has come, because only then all stages hold the same positions.
     fn repair(
@@ -117,7 +147,11 @@
         }
         let held = stream.next_position() - 1;
         let mut need = stream.chain_request();
-        let kept = old.hops.iter().zip(&rebuild).filter(|(_, r)| !**r || !lost.may_reuse);
+        let kept = old
+            .hops
+            .iter()
+            .zip(&rebuild)
+            .filter(|(_, r)| !**r || !lost.may_reuse);
         need.exclude.extend(kept.map(|(hop, _)| hop.target.clone()));
         let mut hops: Vec<ChainHop> = Vec::new();
         let mut positions = Vec::new();
@@ -129,7 +163,8 @@
                     .router
                     .choose_part(&need, old, i, now, &mut self.rng)
                     .ok()?;
-                need.exclude.extend(part.hops.iter().map(|h| h.target.clone()));
+                need.exclude
+                    .extend(part.hops.iter().map(|h| h.target.clone()));
                 positions.extend(part.hops.iter().map(|_| 0));
                 hops.extend(part.hops);
             } else {
@@ -188,7 +223,7 @@
             }
             Err(_) => {
                 stream.forget_failures();
-                stream.wait_for_chain(now);
+                stream.wait_for_chain(now, CHAIN_RETRY);
             }
         }
     }
--- a/crates/coriandercove_entry/src/core/stream.rs
+++ b/crates/coriandercove_entry/src/core/stream.rs
@@ -18,7 +18,7 @@
 /// Allowance for the first token beyond three times its estimate.
 const FIRST_TOKEN_ALLOWANCE: Duration = Duration::from_secs(1);
 /// How often a stream without a chain asks for one.
-const CHAIN_RETRY: Duration = Duration::from_millis(20);
+pub const CHAIN_RETRY: Duration = Duration::from_millis(20);
 
 /// What a stream needs of a chain.
 #[derive(Debug, Clone)]
@@ -60,6 +60,8 @@
     failed: Vec<TargetId>,
     /// The question to the stages of a chain that has stalled.
     pub question: Option<Question>,
+    /// Whether the stream has moved since its last token.
+    has_moved: bool,
     /// Whether a stage of any attempt can have run.
     may_have_run: bool,
     /// The same for the attempts before the current one.
@@ -81,6 +83,7 @@
             ask_again: Time::MAX,
             failed: Vec::new(),
             question: None,
+            has_moved: false,
             may_have_run: false,
             ran_before: false,
         }
@@ -159,8 +162,20 @@
         self.failed.clear();
     }
 
-    pub const fn wait_for_chain(&mut self, now: Time) {
-        self.ask_again = Time::from_nanos((now.as_nanos() + CHAIN_RETRY.as_nanos()) as u64);
+    pub const fn wait_for_chain(&mut self, now: Time, wait: Duration) {
+        self.ask_again = now.saturating_add(wait);
+    }
+
+    /// Time by which the whole answer must have been given.
+    pub const fn deadline(&self) -> Time {
+        self.spec.deadline
+    }
+
+    /// Counts a move; whether it is the first since the last token.
+    pub const fn count_move(&mut self) -> bool {
+        let is_first = !self.has_moved;
+        self.has_moved = true;
+        is_first
     }
 
     /// Whether the stream has no chain and should ask for one now.
@@ -261,6 +276,7 @@
         self.emitted.push(frame.token);
         self.progress = now;
         self.question = None;
+        self.has_moved = false;
         self.chain_yielded = true;
         true
     }
@@ -315,7 +331,10 @@
 
     /// Whether the chain has stalled for so long that it is given up although its stages answer.
     pub fn is_overdue(&self, now: Time) -> bool {
-        let first = self.chain.as_ref().map_or(Duration::ZERO, |c| c.first_token);
+        let first = self
+            .chain
+            .as_ref()
+            .map_or(Duration::ZERO, |c| c.first_token);
         let limit = if self.chain_yielded {
             MAX_STALL
         } else {
--- a/crates/coriandercove_entry/tests/streams/runner.rs
+++ b/crates/coriandercove_entry/tests/streams/runner.rs
@@ -125,7 +125,8 @@
         (None, Some(seed)) => (seed, 1),
         (None, None) => (first, seeds),
     };
-    (STEPS.set(0), WHOLE.set(0));
+    STEPS.set(0);
+    WHOLE.set(0);
     println!("{name}: {count} seeds from {first}");
     for seed in first..first + count {
         if let Err(message) = run::<T>(seed, steps) {
--- a/crates/coriandercove_entry/tests/streams/steps.rs
+++ b/crates/coriandercove_entry/tests/streams/steps.rs
@@ -72,7 +72,7 @@
         let yes = prop::bool::ANY;
         let rare = prop::bool::weighted(0.15);
         prop_oneof![
-            submit => (entry.clone(), 1..24_usize, 1..14_u32, rare.clone(), rare.clone())
+            submit => (entry.clone(), 1..24_usize, 1..14_u32, rare, rare)
                 .prop_map(|(entry, prompt, max_tokens, slow, short)| Step::Submit { entry, prompt, max_tokens, slow, short }),
             120 => (proptest::num::u64::ANY, 1..60_usize).prop_map(|(seed, events)| Step::Run { seed, events }),
             30 => (5..400_u64).prop_map(Step::Advance),
@@ -81,8 +81,8 @@
             3 => (node.clone(), node).prop_map(|(a, b)| Step::Cut(a, b)),
             4 => Just(Step::HealCuts),
             8 => any.clone().prop_map(Step::Duplicate),
-            4 => (agent.clone(), yes.clone()).prop_map(|(a, vm)| Step::Kill(a, vm)),
-            7 => (agent.clone(), yes.clone()).prop_map(|(a, vm)| Step::Restart(a, vm)),
+            4 => (agent.clone(), yes).prop_map(|(a, vm)| Step::Kill(a, vm)),
+            7 => (agent.clone(), yes).prop_map(|(a, vm)| Step::Restart(a, vm)),
             3 => agent.clone().prop_map(Step::Freeze),
             6 => agent.clone().prop_map(Step::Wake),
             1 => entry.clone().prop_map(Step::FreezeEntry),
@@ -94,7 +94,7 @@
             3 => (agent.clone(), 1..4_u32).prop_map(|(a, n)| Step::FailItems(a, n)),
             2 => agent.clone().prop_map(Step::LoseAnswer),
             3 => any.clone().prop_map(Step::CallerGone),
-            5 => (any, yes.clone()).prop_map(|(i, slow)| Step::CallerSlow(i, slow)),
+            5 => (any, yes).prop_map(|(i, slow)| Step::CallerSlow(i, slow)),
             3 => agent.clone().prop_map(Step::Leave),
             4 => agent.prop_map(Step::Evict),
             2 => yes.prop_map(Step::Join),
