--- a/crates/coriandercove_entry/src/core/recovery.rs
+++ b/crates/coriandercove_entry/src/core/recovery.rs
@@ -15,8 +15,9 @@
 use super::{Core, CoreAction, DOWN_FOR};
 
 /// Wait of a stream whose further move the retry budget does not allow, so that streams that fail
-/// everywhere do not load the targets with prefills.
-const MOVE_BACKOFF: Duration = Duration::from_millis(500);
+/// everywhere do not load the targets with prefills. When two stages die together, most streams
+/// move twice, and both moves have to fit into the recovery goal of 1 s.
+const MOVE_BACKOFF: Duration = Duration::from_millis(250);
 /// Chains tried for one stream. Each failure excludes a target, so more would try hopeless ones.
 const MAX_ATTEMPTS: u32 = 12;
 
