--- a/crates/coriandercove_local/src/plan.rs
+++ b/crates/coriandercove_local/src/plan.rs
@@ -5,6 +5,9 @@
 use coriandercove_base::{Layer, ModelId, ZoneId};
 use coriandercove_config::{Pipeline, Repeat, Rule, Service};
 
+use crate::network::Network;
+use crate::tuning::EngineTuning;
+
 /// One engine of a plan.
 #[derive(Debug, Clone)]
 pub struct EnginePlan {
@@ -39,6 +42,10 @@
     pub concurrency: u32,
     /// Seed of the choices of stand-ins and entries.
     pub seed: u64,
+    /// Settings of the engine stand-ins that differ from the defaults.
+    pub tuning: EngineTuning,
+    /// Delays and partitions between zones; links are not shaped if absent.
+    pub network: Option<Network>,
 }
 
 impl Plan {
@@ -66,6 +73,8 @@
             first_port: 0,
             concurrency: 64,
             seed: 1,
+            tuning: EngineTuning::default(),
+            network: None,
         }
     }
 
@@ -83,7 +92,7 @@
             token_deadline: Duration::from_millis(60),
             request_deadline: Duration::from_secs(120),
             priority: 4,
-            compute: Vec::new(),
+            compute: self.compute(),
         }
     }
 
--- a/crates/coriandercove_state/src/claim/load.rs
+++ b/crates/coriandercove_state/src/claim/load.rs
@@ -11,6 +11,8 @@
 
 use std::collections::BTreeMap;
 
+use coriandercove_base::Time;
+
 use super::index::{Active, Sealed, View};
 use super::segment::Segment;
 use crate::fault::{self, Fault};
@@ -112,27 +114,42 @@
         self.stray.retain(|n, _| is_listed(n));
     }
 
-    /// Takes in a segment that was read, or `None` if it does not exist any more.
-    pub fn on_get(&mut self, view: &mut View, number: u64, found: Option<(Version, Segment)>) {
+    /// Takes in a segment that was read, with its size, or `None` if it does not exist any more.
+    pub fn on_get(
+        &mut self,
+        view: &mut View,
+        now: Time,
+        number: u64,
+        found: Option<(Version, usize, Segment)>,
+    ) {
         self.missing.retain(|n| *n != number);
         match found {
             None => {}
-            Some((version, segment)) if segment.sealed && !fault::is_on(Fault::WriteToSealed) => {
-                view.set_sealed(number, Sealed { version, segment });
+            Some((version, _, segment))
+                if segment.sealed && !fault::is_on(Fault::WriteToSealed) =>
+            {
+                let sealed = Sealed {
+                    version,
+                    segment,
+                    since: now,
+                };
+                view.set_sealed(number, sealed);
             }
-            Some((version, _)) if number < self.highest => {
+            Some((version, ..)) if number < self.highest => {
                 // Its successor exists, so the segment had been sealed and was deleted since.
                 self.stray.insert(number, version);
                 if view.active.as_ref().is_some_and(|a| a.number == number) {
                     view.drop_active();
                 }
             }
-            Some((version, segment)) => {
+            Some((version, bytes, segment)) => {
                 self.active_read = true;
                 view.set_active(Active {
                     number,
                     version,
                     segment,
+                    bytes,
+                    since: now,
                 });
             }
         }
--- a/crates/coriandercove_state/src/claim/shard.rs
+++ b/crates/coriandercove_state/src/claim/shard.rs
@@ -13,9 +13,10 @@
 use crate::fault::{self, Fault};
 use crate::store_call::{StoreCall, Version};
 
-/// Room for the parts of a segment besides its claims, in bytes.
+/// Room that is kept free in a segment for longer lengths and ids of its encoding, in bytes.
 const SEGMENT_OVERHEAD: usize = 64;
-/// Least time between two looks for old segments, which read all claims of a segment.
+/// Least time between two looks for old segments, so that many entries that look for them
+/// take few of the store's writes.
 const CLEAN_GAP: Duration = Duration::from_secs(1);
 
 data! {
@@ -24,8 +25,8 @@
     pub struct ShardSettings {
         /// Start of the names of the shard's objects; see [`super::shard_prefix`].
         pub prefix: String,
-        /// Age in ms after which claims are deleted.
-        pub retention_ms: u64,
+        /// Least time for which claims are kept.
+        pub retention: Duration,
         /// Least time between two writes.
         pub write_gap: Duration,
         /// Wait before the store is tried again after a failure; doubles up to 2 s.
@@ -43,7 +44,7 @@
     pub const fn new(prefix: String) -> Self {
         Self {
             prefix,
-            retention_ms: 24 * 3600 * 1000,
+            retention: Duration::from_secs(24 * 3600),
             write_gap: Duration::from_millis(100),
             retry: Duration::from_millis(50),
             segment_bytes: MAX_SEGMENT_BYTES,
@@ -83,15 +84,22 @@
     pub unsettled: Option<(u64, Version)>,
 }
 
+/// A write of the active segment under way.
+#[derive(Debug, Default)]
+pub(super) struct Write {
+    pub segment: Segment,
+    pub bytes: usize,
+    pub batch: Vec<Waiting>,
+    /// The claims that the batch adds or changes.
+    pub changed: Vec<Claim>,
+}
+
 #[derive(Debug)]
 pub(super) enum Op {
     List,
     Get(u64),
     Create(u64),
-    Write {
-        segment: Segment,
-        batch: Vec<Waiting>,
-    },
+    Write(Write),
     Seal(Segment),
     Delete(u64),
     DeleteStray(u64),
@@ -165,6 +173,12 @@
         self.view.len()
     }
 
+    /// Number of changes that wait to be written.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Number of objects that could not be decoded.
     #[must_use]
     pub const fn malformed(&self) -> u64 {
@@ -179,7 +193,7 @@
 
     /// Queues a change. Its result comes as [`ShardAction::Settled`] with the same tag.
     pub fn submit(&mut self, now: Time, tag: u128, change: Change) -> Vec<ShardAction> {
-        if self.queue.len() >= self.settings.max_waiting {
+        if self.queue.len() >= self.settings.max_waiting || change.is_too_large() {
             return vec![settled(tag, ChangeResult::Overloaded)];
         }
         if now < self.retry_at && may_fail(&change) {
@@ -216,7 +230,7 @@
     }
 
     fn is_in_flight(&self, tag: u128) -> bool {
-        matches!(&self.op, Some(Op::Write { batch, .. }) if batch.iter().any(|w| w.tag == tag))
+        matches!(&self.op, Some(Op::Write(write)) if write.batch.iter().any(|w| w.tag == tag))
     }
 
     /// Reads the claims that other entries wrote. Returns the number of this refresh, which
@@ -227,12 +241,11 @@
     }
 
     /// Goes on with waiting work, and removes or seals segments whose claims are too old.
-    /// `wall_ms` is the wall clock in ms since 1970.
-    pub fn tick(&mut self, now: Time, wall_ms: u64) -> Vec<ShardAction> {
+    pub fn tick(&mut self, now: Time) -> Vec<ShardAction> {
         let mut actions = self.advance(now);
         if self.op.is_none() && self.loader.is_ready() && now >= self.next_clean {
-            self.next_clean = now + CLEAN_GAP;
-            actions.extend(self.clean(wall_ms));
+            self.next_clean = now + CLEAN_GAP.min(self.settings.retention / 8);
+            actions.extend(self.clean(now));
         }
         actions
     }
@@ -329,17 +342,22 @@
             self.loader.restart(&self.view);
             return;
         };
-        let mut segment = active.segment;
-        let (batch, is_full) = self.take_batch(&mut segment, actions);
-        if batch.is_empty() {
+        let mut write = Write {
+            segment: active.segment,
+            bytes: active.bytes,
+            ..Write::default()
+        };
+        let is_full = self.take_batch(&mut write, actions);
+        if write.batch.is_empty() {
             if is_full {
                 actions.extend(self.seal());
             }
             return;
         }
-        segment.write_id = random_id(&mut self.rng);
+        write.segment.write_id = random_id(&mut self.rng);
         self.last_write = Some(now);
-        let Ok(value) = segment.encode() else {
+        let batch = &write.batch;
+        let Ok(value) = write.segment.encode() else {
             // Only a claim larger than a whole segment gets here.
             actions.extend(
                 batch
@@ -348,6 +366,7 @@
             );
             return;
         };
+        write.bytes = value.len();
         actions.push(ShardAction::Store(StoreCall::PutIf {
             name: segment::name_of(&self.settings.prefix, active.number),
             version: active.version,
@@ -356,23 +375,19 @@
         if fault::is_on(Fault::DispatchBeforeDurable) {
             actions.extend(batch.iter().map(|w| settled(w.tag, ChangeResult::Written)));
         }
-        self.op = Some(Op::Write { segment, batch });
+        self.op = Some(Op::Write(write));
     }
 
-    /// Takes the changes for the next write out of the queue and applies them to `segment`.
-    /// Changes that need no write are settled. Also tells whether a change did not fit.
-    fn take_batch(
-        &mut self,
-        segment: &mut Segment,
-        actions: &mut Vec<ShardAction>,
-    ) -> (Vec<Waiting>, bool) {
+    /// Takes the changes for the next write out of the queue and applies them to its segment.
+    /// Changes that need no write are settled. Returns whether a change did not fit.
+    fn take_batch(&mut self, write: &mut Write, actions: &mut Vec<ShardAction>) -> bool {
         let limit = self.settings.segment_bytes.min(MAX_SEGMENT_BYTES);
-        let mut bytes = SEGMENT_OVERHEAD + segment.claims.iter().map(size_of_claim).sum::<usize>();
-        let is_empty = segment.claims.is_empty();
+        let limit = limit.saturating_sub(SEGMENT_OVERHEAD);
+        let is_empty = write.segment.claims.is_empty();
         let position = self.view.position();
         let mut keys = HashSet::new();
+        let mut rest = VecDeque::new();
         let mut is_full = false;
-        let (mut batch, mut rest) = (Vec::new(), VecDeque::new());
         for mut waiting in std::mem::take(&mut self.queue) {
             if waiting.unsettled != position {
                 // The segment has changed since, so that write can no longer take effect.
@@ -388,12 +403,12 @@
                     actions.push(settled(waiting.tag, ChangeResult::Refused(claim)));
                 }
                 Verdict::Write(claim) => {
-                    let size = size_of_claim(&claim);
-                    let fits = bytes + size <= limit || (is_empty && batch.is_empty());
-                    if fits {
-                        bytes += size;
-                        segment.set(claim);
-                        batch.push(waiting);
+                    let bytes = write.bytes + size_of_claim(&claim);
+                    if bytes <= limit || (is_empty && write.batch.is_empty()) {
+                        write.bytes = bytes;
+                        write.segment.set(claim.clone());
+                        write.changed.push(claim);
+                        write.batch.push(waiting);
                     } else {
                         is_full = true;
                         rest.push_back(waiting);
@@ -402,7 +417,7 @@
             }
         }
         self.queue = rest;
-        (batch, is_full)
+        is_full
     }
 
     fn seal(&mut self) -> Option<ShardAction> {
@@ -420,17 +435,20 @@
     }
 
     /// Deletes one object that is no longer needed, or seals an old active segment.
-    fn clean(&mut self, wall_ms: u64) -> Option<ShardAction> {
-        let retention = self.settings.retention_ms;
-        let is_old = |s: &Segment| s.newest_ms().saturating_add(retention) < wall_ms;
+    ///
+    /// A segment is old if this entry has known it, unchanged, for the whole retention on its
+    /// own monotonic clock. The wall clocks of entries decide nothing: an entry whose clock is
+    /// wrong would delete claims that are in use.
+    fn clean(&mut self, now: Time) -> Option<ShardAction> {
+        let is_old = |since: Time| now > since + self.settings.retention;
         let stray = self.loader.stray.iter().next();
         let oldest = self.view.sealed.iter().next();
         let (op, number, version) = match (stray, oldest) {
             (Some((&n, &version)), _) => (Op::DeleteStray(n), n, version),
-            (None, Some((&n, s))) if is_old(&s.segment) => (Op::Delete(n), n, s.version),
+            (None, Some((&n, s))) if is_old(s.since) => (Op::Delete(n), n, s.version),
             _ => {
-                let active = &self.view.active.as_ref()?.segment;
-                let is_due = !active.claims.is_empty() && is_old(active);
+                let active = self.view.active.as_ref()?;
+                let is_due = !active.segment.claims.is_empty() && is_old(active.since);
                 return if is_due { self.seal() } else { None };
             }
         };
--- a/crates/coriandercove_state/src/claim/tests.rs
+++ b/crates/coriandercove_state/src/claim/tests.rs
@@ -80,8 +80,8 @@
     let settled = shard.on_store(10 * MS, StoreReply::Written(2));
     expect_that!(keys_written(&settled), is_empty());
     expect_that!(shard.next_wake(), some(eq(101 * MS)));
-    expect_that!(shard.tick(100 * MS, 0), is_empty());
-    let second = shard.tick(101 * MS, 0);
+    expect_that!(shard.tick(100 * MS), is_empty());
+    let second = shard.tick(101 * MS);
     expect_that!(
         keys_written(&second),
         elements_are![eq(&1), eq(&2), eq(&3), eq(&4)]
@@ -139,6 +139,18 @@
     );
 }
 
+/// Guards against a claim that makes its whole segment unreadable.
+#[gtest]
+fn a_long_body_is_refused() {
+    let mut shard = loaded();
+    let actions = shard.submit(MS, 1, Change::Claim(claim(1, MAX_CLAIM_BODY + 1)));
+    let (tag, result) = (1, ChangeResult::Overloaded);
+    expect_that!(
+        actions,
+        elements_are![eq(&ShardAction::Settled { tag, result })]
+    );
+}
+
 /// Guards against objects beyond the limits.
 #[gtest]
 fn segments_have_limits() {
@@ -163,6 +175,33 @@
     );
 }
 
+/// Guards against an encoding that needs more room for each claim: 1 h of 10 claims/s in a
+/// shard should take few segments.
+#[gtest]
+fn a_segment_holds_many_claims() {
+    let claims = |n: u128| {
+        (0..n).map(|i| Claim {
+            key: u128::MAX - i,
+            fingerprint: u128::MAX - i,
+            req: u128::MAX - i,
+            ticket: Ticket {
+                id: u128::MAX - i,
+                issued_ms: 1_800_000_000_000,
+                node: "agent-kumamoto-0123".into(),
+                incarnation: 1_800_000_000_000_000_000,
+            },
+            state: ClaimState::Open,
+            at_ms: 1_800_000_000_000,
+        })
+    };
+    let one = segment(claims(1).collect()).encode().expect("small").len();
+    let bytes = segment(claims(2001).collect())
+        .encode()
+        .map_or(MAX_SEGMENT_BYTES, |b| b.len());
+    println!("an open claim takes {} bytes", (bytes - one) / 2000);
+    expect_that!(bytes, lt(MAX_SEGMENT_BYTES));
+}
+
 proptest! {
     /// Guards against a panic on malformed input and against bytes that are read in two ways.
     #[test]
--- a/crates/coriandercove_state/src/membership/entry.rs
+++ b/crates/coriandercove_state/src/membership/entry.rs
@@ -358,9 +358,11 @@
         if merge == Merge::Nothing {
             return;
         }
-        if before != after || member.record.leaving {
-            self.observers_old |= member.record.info.role == Role::Entry;
-        }
+        // Agents matter to the choice of observers as far as they take room.
+        let entry = member.record.info.role == Role::Entry;
+        let listed = |(incarnation, liveness)| incarnation > 0 && liveness != Liveness::Dead;
+        let changed = before != after || member.record.leaving;
+        self.observers_old |= (entry && changed) || listed(before) != listed(after);
         self.heat(key, merge == Merge::Info);
         self.show(key);
     }
@@ -411,11 +413,7 @@
         if leaving {
             self.mark_leaving(self.me);
         }
-        let refute = liveness != Liveness::Alive
-            && !self
-                .faults
-                .has(super::faults::MembershipFault::NoRefutation);
-        if refute {
+        if liveness != Liveness::Alive {
             self.seq += 1;
             self.change_mine(|r| r.liveness = Liveness::Alive);
             self.heat(self.me, false);
