--- a/crates/coriandercove_entry/src/core/recovery.rs
+++ b/crates/coriandercove_entry/src/core/recovery.rs
@@ -1,16 +1,23 @@
 //! Moving streams to other chains.
 
+use std::time::Duration;
+
 use coriandercove_base::{Position, RequestId, Time};
 use coriandercove_caller::Outcome;
 use coriandercove_peer::StageFailureReason;
 use coriandercove_policy::RefusalReason;
 use coriandercove_policy::chain::{Chain, ChainHop};
 use coriandercove_policy::explain::Refusal;
+use coriandercove_policy::retry::{FailedAttempt, Failure};
 
 use super::question::{Verdict, verdict};
-use super::stream::Stream;
+use super::stream::{CHAIN_RETRY, Stream};
 use super::{Core, CoreAction, DOWN_FOR};
 
+/// Wait of a stream whose further move the retry budget does not allow, so that streams that fail
+/// everywhere do not load the targets with prefills. When two stages die together, most streams
+/// move twice, and both moves have to fit into the recovery goal of 1 s.
+const MOVE_BACKOFF: Duration = Duration::from_millis(250);
 /// Chains tried for one stream. Each failure excludes a target, so more would try hopeless ones.
 const MAX_ATTEMPTS: u32 = 12;
 
@@ -80,6 +87,8 @@
         let Some(old) = stream.release_chain(&mut self.router) else {
             return;
         };
+        let is_first = stream.count_move();
+        let deadline = stream.deadline();
         if !lost.may_reuse {
             for hop in lost
                 .hops
@@ -90,7 +99,8 @@
             }
         }
         self.actions.push(CoreAction::Retried(label));
-        let repair = if lost.keep_others {
+        let at_once = is_first || self.may_move_again(now, deadline);
+        let repair = if at_once && lost.keep_others {
             self.repair(now, req, &old, lost)
         } else {
             None
@@ -98,10 +108,27 @@
         self.cancel_unused(req, &old, repair.as_ref());
         match repair {
             Some((chain, held)) => self.start_on(now, req, chain, &held),
-            None => self.find_chain(now, req),
+            None if at_once => self.find_chain(now, req),
+            None => {
+                if let Some(stream) = self.streams.get_mut(&req) {
+                    stream.wait_for_chain(now, MOVE_BACKOFF);
+                }
+            }
         }
     }
 
+    /// Whether the retry budget allows a further move before the stream has got a token. A stream
+    /// whose move is not allowed waits and is not given up.
+    fn may_move_again(&mut self, now: Time, deadline: Time) -> bool {
+        let attempt = FailedAttempt {
+            failure: Failure::Unknown,
+            repeatable: true,
+            attempts: 1,
+            deadline,
+        };
+        self.retry.decide(now, &attempt, &mut self.rng).is_ok()
+    }
+
     /// A chain that keeps the surviving stages with their state and replaces the lost ones.
     /// Only possible once a token has come, because only then all stages hold the same positions.
     fn repair(
@@ -197,7 +224,7 @@
             }
             Err(_) => {
                 stream.forget_failures();
-                stream.wait_for_chain(now);
+                stream.wait_for_chain(now, CHAIN_RETRY);
             }
         }
     }
