Run configuration and membership over links and datagrams

Cause: the local deployment published configurations directly to its entries, agents had none, and no process learned that a target joined, left or died. Change: coriandercove_node runs the configuration log (store, PullConfig, ConfigChanges) and the membership machines (UDP at the peer address, datagrams sealed with the cluster key). The entry passes members and loads to its core; the agent reports its load and announces that it leaves by a heartbeat and Frame::Leaving. The deployment accepts configurations in the store. Both parts share their wiring, so they come in one commit. Before: no control traffic. Conclusion: direct publishing is gone from coriandercove_local.

--- a/crates/coriandercove_agent/src/runtime.rs
+++ b/crates/coriandercove_agent/src/runtime.rs
@@ -1,15 +1,17 @@
 //! The running agent: connects links, stages and the target.
 
+mod control;
 mod handler;
 mod service;
 
 use std::cell::{Cell, OnceCell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use coriandercove_base::telemetry::{CounterFamily, Metrics, count};
 use coriandercove_base::timer::{Subscription, TimerService};
-use coriandercove_base::{Clock, MonotonicClock};
+use coriandercove_base::{Clock, ConfigVersion, MonotonicClock};
 use coriandercove_peer::link::Shaper;
 use coriandercove_peer::{Address, ClusterKey, Frame, LinkConfig, Links, PeerInfo};
 use coriandercove_state::ticket::{TicketLimits, TicketTable};
@@ -18,6 +20,7 @@
 
 use crate::engine::{BatchLimits, EngineDriver};
 use crate::stage::{StageAction, StageLimits, Stages};
+use control::Control;
 use handler::Handler;
 
 /// How often expired state is forgotten.
@@ -46,6 +49,7 @@
     /// Calls to the plain service in progress.
     max_calls: usize,
     drain_deadline: Duration,
+    seeds: Vec<SocketAddr>,
     shaper: Option<Rc<dyn Shaper>>,
     log: Logger,
     metrics: Metrics,
@@ -67,6 +71,7 @@
             },
             max_calls: 256,
             drain_deadline: Duration::from_secs(30),
+            seeds: Vec::new(),
             shaper: None,
             log,
             metrics: Metrics::default(),
@@ -101,6 +106,13 @@
         self
     }
 
+    /// Sets the peer addresses of entries from which the agent learns the rest.
+    #[must_use]
+    pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.seeds = seeds;
+        self
+    }
+
     /// Shapes traffic, for tests and measurements.
     #[must_use]
     pub fn with_shaper(mut self, shaper: Rc<dyn Shaper>) -> Self {
@@ -118,6 +130,7 @@
     service: Option<Rc<dyn Service>>,
     tickets: RefCell<TicketTable>,
     links: OnceCell<Links>,
+    control: OnceCell<Control>,
     calls: Cell<usize>,
     max_calls: usize,
     leaving: Cell<bool>,
@@ -165,6 +178,7 @@
                 TicketLimits::default(),
             )),
             links: OnceCell::new(),
+            control: OnceCell::new(),
             calls: Cell::new(0),
             max_calls: cfg.max_calls,
             leaving: Cell::new(false),
@@ -174,18 +188,20 @@
         if let Backend::Engine(engine) = backend {
             Self::start_driver(&inner, engine, cfg.batch, &metrics);
         }
-        let mut link_cfg = LinkConfig::new(own, key);
+        let mut link_cfg = LinkConfig::new(own, key.clone());
         if let Some(shaper) = cfg.shaper {
             link_cfg = link_cfg.with_shaper(shaper);
         }
         let handler = Rc::new(Handler::new(&inner));
-        let links = Links::bind(link_cfg, |_| handler, &timers, &metrics, log).await?;
+        let links = Links::bind(link_cfg, |_| handler, &timers, &metrics, log.clone()).await?;
         // The cell is empty, because nothing else sets it.
         let _ = inner.links.set(links);
+        Control::start(&inner, key, cfg.seeds, (&timers, &metrics, log))?;
         let weak = Rc::downgrade(&inner);
         let tick = timers.subscribe(TICK, move || {
             if let Some(inner) = weak.upgrade() {
                 inner.stages.borrow_mut().tick(inner.clock.now());
+                inner.report_load();
                 inner.flush();
             }
         });
@@ -251,6 +267,13 @@
     pub fn leave(&self) {
         self.inner.leaving.set(true);
         self.inner.stages.borrow_mut().leave();
+        self.inner.announce_leaving();
+    }
+
+    /// Version of the configuration in force; 0 while none is known.
+    #[must_use]
+    pub fn config_version(&self) -> ConfigVersion {
+        self.inner.control.get().map_or(0, |c| c.config.version())
     }
 
     /// Leaves, waits until work in flight has ended or moved, and stops.
@@ -276,6 +299,9 @@
 
     /// Stops at once, as a crash would.
     pub fn stop(self) {
+        if let Some(control) = self.inner.control.get() {
+            control.members.stop();
+        }
         if let Some(links) = self.inner.links.get() {
             links.close();
         }
--- a/crates/coriandercove_agent/src/runtime/handler.rs
+++ b/crates/coriandercove_agent/src/runtime/handler.rs
@@ -27,6 +27,9 @@
             return;
         };
         let now = agent.clock.now();
+        let Some(frame) = agent.control_frame(from, frame) else {
+            return;
+        };
         match frame {
             Frame::OpenStage(open) => agent.open_stage(*open),
             Frame::Feed(feed) => agent.stages.borrow_mut().feed(&feed),
@@ -53,6 +56,9 @@
             return;
         };
         agent.stages.borrow_mut().link_down(agent.clock.now(), node);
+        if let Some(control) = agent.control.get() {
+            control.config.link_down(node);
+        }
         agent.flush();
     }
 
@@ -61,6 +67,9 @@
             return;
         };
         for frame in frames {
+            if let Some(control) = agent.control.get() {
+                control.config.undelivered(&to.node, &frame);
+            }
             agent.stages.borrow_mut().undelivered(to, &frame);
         }
         agent.flush();
--- a/crates/coriandercove_entry/src/core.rs
+++ b/crates/coriandercove_entry/src/core.rs
@@ -1,6 +1,7 @@
 //! Decisions of the entry about streams: admission, choice of chains, order of tokens and recovery.
 //! Pure: events and time in, actions out.
 
+mod members;
 mod recovery;
 mod router;
 mod stream;
--- a/crates/coriandercove_entry/src/core/router.rs
+++ b/crates/coriandercove_entry/src/core/router.rs
@@ -1,5 +1,7 @@
 //! Known targets and their addresses, on top of the chain planner.
 
+mod members;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +32,8 @@
     services: SortedMap<String, Vec<TargetId>>,
     /// Targets that get no new work until the time given.
     down: SortedMap<TargetId, Time>,
+    /// Targets that get no new work because of membership.
+    away: SortedMap<TargetId, TargetState>,
     /// Live entries, this one included.
     entries: usize,
     /// Turns through the replicas of a service.
@@ -49,6 +53,7 @@
             addresses: SortedMap::new(),
             services: SortedMap::new(),
             down: SortedMap::new(),
+            away: SortedMap::new(),
             entries: 1,
             turn: 0,
             now: Time::ZERO,
@@ -72,6 +77,7 @@
         for target in &config.targets {
             self.add_target(config, target);
         }
+        self.keep_members_away();
         for link in &config.links {
             let cost = LinkCost {
                 delay: link.delay,
@@ -207,7 +213,7 @@
     pub fn choose_replica(&mut self, service: &str, exclude: &[TargetId]) -> Option<Address> {
         let targets = self.services.get(service)?;
         self.turn = self.turn.wrapping_add(1);
-        let usable = |t: &&TargetId| !exclude.contains(t) && !self.down.contains(*t);
+        let usable = |t: &&TargetId| !exclude.contains(t) && self.is_usable(t);
         let n = targets.len();
         let in_turn = (0..n).map(|i| &targets[(self.turn + i) % n]);
         in_turn
@@ -244,11 +250,12 @@
     /// Gives targets work again whose time has passed.
     pub fn tick(&mut self, now: Time) {
         self.now = now;
-        let planner = &mut self.planner;
+        let (planner, away) = (&mut self.planner, &self.away);
         self.down.retain(|target, until| {
             let still_down = now < *until;
             if !still_down {
-                planner.set_state(target, TargetState::Ready);
+                let state = away.get(target).copied().unwrap_or_default();
+                planner.set_state(target, state);
             }
             still_down
         });
--- a/crates/coriandercove_entry/src/runtime.rs
+++ b/crates/coriandercove_entry/src/runtime.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod claims;
+mod control;
 mod handler;
 mod once;
 mod waiter;
@@ -19,7 +20,8 @@
 use coriandercove_config::{Config, Pipeline};
 use coriandercove_peer::link::Shaper;
 use coriandercove_peer::{Address, ClusterKey, Frame, LinkConfig, Links, PeerInfo};
-use coriandercove_platform::Store;
+use coriandercove_platform::{Store, VmSource};
+use coriandercove_state::membership::MembershipEvent;
 use coriandercove_state::once::OnceSettings;
 use slog::Logger;
 
@@ -29,6 +31,7 @@
 use crate::view::ConfigView;
 use calls::Calls;
 pub use claims::PlatformClaims;
+use control::{Control, ControlConfig};
 use handler::Handler;
 use once::OnceCalls;
 pub use once::{ClaimStore, NoStore};
@@ -54,6 +57,9 @@
     seed: Option<u64>,
     shaper: Option<Rc<dyn Shaper>>,
     store: Rc<dyn ClaimStore>,
+    platform: Option<Rc<dyn Store>>,
+    vm_list: Option<Rc<dyn VmSource>>,
+    seeds: Vec<SocketAddr>,
     log: Logger,
     metrics: Metrics,
 }
@@ -74,6 +80,9 @@
             seed: None,
             shaper: None,
             store: Rc::new(NoStore),
+            platform: None,
+            vm_list: None,
+            seeds: Vec::new(),
             log,
             metrics: Metrics::default(),
         }
@@ -114,12 +123,27 @@
         self
     }
 
-    /// Keeps claims in the platform's store.
+    /// Keeps claims in the platform's store and reads the configuration from it.
     #[must_use]
-    pub fn with_platform_store(self, store: Rc<dyn Store>) -> Self {
+    pub fn with_platform_store(mut self, store: Rc<dyn Store>) -> Self {
+        self.platform = Some(Rc::clone(&store));
         self.with_store(Rc::new(PlatformClaims(store)))
     }
 
+    /// Sets the platform's VM list.
+    #[must_use]
+    pub fn with_vm_list(mut self, list: Rc<dyn VmSource>) -> Self {
+        self.vm_list = Some(list);
+        self
+    }
+
+    /// Sets the peer addresses of entries from which this one learns the rest.
+    #[must_use]
+    pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.seeds = seeds;
+        self
+    }
+
     /// Seeds the choices, for tests and measurements.
     #[must_use]
     pub const fn with_seed(mut self, seed: u64) -> Self {
@@ -149,6 +173,7 @@
     calls: Calls,
     once: OnceCalls,
     links: OnceCell<Links>,
+    control: OnceCell<Control>,
     ids: RefCell<Rng>,
     leaving: Cell<bool>,
 }
@@ -205,11 +230,19 @@
             calls: Calls::default(),
             once: OnceCalls::new(OnceSettings::default(), tickets, cfg.store),
             links: OnceCell::from(links),
+            control: OnceCell::new(),
             ids: RefCell::new(ids),
             leaving: Cell::new(false),
         });
         // The cell is empty, because nothing else sets it.
         let _ = cell.set(Rc::clone(&inner));
+        let control = ControlConfig {
+            key: cfg.key,
+            seeds: cfg.seeds,
+            store: cfg.platform,
+            vm_list: cfg.vm_list,
+        };
+        Control::start(&inner, control, &timers, &metrics)?;
         let limits = server_limits(cfg.connections, cfg.head_timeout);
         let server = CallerServer::start(cfg.callers, Rc::clone(&inner), limits).await?;
         let weak = Rc::downgrade(&inner);
@@ -257,26 +290,26 @@
 
     /// Puts a configuration in force, unless a higher version already is.
     pub fn set_config(&self, version: ConfigVersion, config: Config) {
-        let current = self
-            .inner
-            .view
-            .borrow()
-            .as_ref()
-            .map_or(0, |view| view.version);
-        if version <= current {
-            return;
-        }
-        self.inner
-            .core
-            .borrow_mut()
-            .set_config(self.inner.clock.now(), &config);
-        *self.inner.view.borrow_mut() = Some(ConfigView::new(version, config));
-        slog::info!(self.inner.log, "configuration in force"; "version" => version);
+        self.inner.set_config(version, config);
+    }
+
+    /// Version of the configuration in force; 0 while none is known.
+    #[must_use]
+    pub fn config_version(&self) -> ConfigVersion {
+        self.inner.view().map_or(0, |view| view.version)
+    }
+
+    /// The live entries as membership sees them, this one included.
+    #[must_use]
+    pub fn live_entries(&self) -> Vec<Address> {
+        let control = self.inner.control.get();
+        control.map_or_else(Vec::new, |c| c.members.live_entries())
     }
 
-    /// Sets the live entries, this one included.
-    pub fn set_entries(&self, entries: &[Address]) {
-        self.inner.set_entries(entries);
+    /// Whether a target gets new work.
+    #[must_use]
+    pub fn uses_target(&self, target: &NodeId) -> bool {
+        self.inner.core.borrow_mut().router_mut().is_usable(target)
     }
 
     /// Streams and calls in progress.
@@ -288,6 +321,9 @@
     /// Accepts no more requests, waits until those in flight have ended, and stops.
     pub async fn drain(self) {
         self.inner.leaving.set(true);
+        if let Some(control) = self.inner.control.get() {
+            control.members.event(MembershipEvent::Leave);
+        }
         self.server.stop_accepting();
         let end = tokio::time::Instant::now() + self.drain_deadline;
         while self.in_progress() > 0 && tokio::time::Instant::now() < end {
@@ -304,6 +340,9 @@
         if let Some(links) = self.inner.links.get() {
             links.close();
         }
+        if let Some(control) = self.inner.control.get() {
+            control.members.stop();
+        }
         self.inner.waiters.borrow_mut().clear();
     }
 }
--- /dev/null
+++ b/crates/coriandercove_entry/src/runtime/control.rs
@@ -0,0 +1,252 @@
+//! Connects membership and the configuration to the entry.
+
+use std::cell::RefCell;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use bytes::Bytes;
+use coriandercove_base::telemetry::{Metrics, count};
+use coriandercove_base::timer::{Subscription, TimerService};
+use coriandercove_base::{Clock, ConfigVersion};
+use coriandercove_config::Config;
+use coriandercove_node::{ConfigRunner, Machine, Members, members};
+use coriandercove_peer::{Address, ClusterKey, Frame, PeerInfo};
+use coriandercove_platform::{Store, VmSource, VmState};
+use coriandercove_policy::chain::LoadReport;
+use coriandercove_state::membership::{
+    MemberEvent, MemberInfo, MemberRecord, MembershipAction, MembershipEvent, Role, VmListed,
+};
+use rand::Rng as _;
+
+use super::Inner;
+
+/// Time between two looks at the VM list, which lags by more than that.
+const VM_LIST_PERIOD: Duration = Duration::from_secs(5);
+
+/// What the entry needs for membership and configuration.
+pub struct ControlConfig {
+    pub key: ClusterKey,
+    pub seeds: Vec<std::net::SocketAddr>,
+    pub store: Option<Rc<dyn Store>>,
+    pub vm_list: Option<Rc<dyn VmSource>>,
+}
+
+/// Membership and configuration of the entry.
+pub struct Control {
+    pub config: Rc<ConfigRunner>,
+    pub members: Rc<Members>,
+    entries: RefCell<Vec<Address>>,
+    vm_list: RefCell<Option<Subscription>>,
+}
+
+impl Control {
+    /// Starts both.
+    pub fn start(
+        inner: &Rc<Inner>,
+        cfg: ControlConfig,
+        timers: &TimerService,
+        metrics: &Metrics,
+    ) -> std::io::Result<()> {
+        let Some(links) = inner.links.get().cloned() else {
+            return Ok(());
+        };
+        let own = links.own().clone();
+        let weak = Rc::downgrade(inner);
+        let on_config = move |version, config| apply(&weak, version, config);
+        let (node, log) = (own.node.clone(), inner.log.clone());
+        let config = ConfigRunner::new(node, cfg.store, metrics, log, on_config);
+        let machine = Machine::new(&own, cfg.seeds, inner.ids.borrow_mut().random());
+        let weak = Rc::downgrade(inner);
+        let on_action = move |action| {
+            if let Some(inner) = weak.upgrade() {
+                inner.member_action(action);
+            }
+        };
+        let members = Members::start(&own, cfg.key, machine, timers, metrics, on_action)?;
+        let control = Self {
+            config: Rc::clone(&config),
+            members,
+            entries: RefCell::default(),
+            vm_list: RefCell::default(),
+        };
+        // The cell is empty, because nothing else sets it.
+        let _ = inner.control.set(control);
+        inner.refresh_entries();
+        config.start(links, timers);
+        if let Some(list) = cfg.vm_list {
+            poll_vms(inner, list, timers);
+        }
+        Ok(())
+    }
+}
+
+fn apply(inner: &Weak<Inner>, version: ConfigVersion, config: Config) {
+    if let Some(inner) = inner.upgrade() {
+        inner.set_config(version, config);
+    }
+}
+
+fn poll_vms(inner: &Rc<Inner>, list: Rc<dyn VmSource>, timers: &TimerService) {
+    let weak = Rc::downgrade(inner);
+    let poll = move || {
+        let (weak, answer) = (weak.clone(), list.vms());
+        actix_rt::spawn(async move {
+            // A failed call is repeated with the next period, and the list removes nobody.
+            if let (Ok(table), Some(inner)) = (answer.await, weak.upgrade()) {
+                inner.vms_listed(table.vms);
+            }
+        });
+    };
+    if let Some(control) = inner.control.get() {
+        *control.vm_list.borrow_mut() = Some(timers.subscribe(VM_LIST_PERIOD, poll));
+    }
+}
+
+impl Inner {
+    /// Puts a configuration in force, unless a higher version already is.
+    pub(super) fn set_config(&self, version: ConfigVersion, config: Config) {
+        let current = self.view.borrow().as_ref().map_or(0, |view| view.version);
+        if version <= current {
+            return;
+        }
+        let now = self.clock.now();
+        self.core.borrow_mut().set_config(now, &config);
+        *self.view.borrow_mut() = Some(crate::view::ConfigView::new(version, config));
+        slog::info!(self.log, "configuration in force"; "version" => version);
+        if let Some(control) = self.control.get() {
+            let event = MembershipEvent::ConfigVersion(version);
+            control.members.event(event);
+        }
+    }
+
+    fn member_action(self: &Rc<Self>, action: MembershipAction) {
+        match action {
+            MembershipAction::Send { .. } => {}
+            MembershipAction::Event(event) => self.member_event(&event),
+            MembershipAction::PeerConfig { peer, tcp, version } => {
+                if let Some(control) = self.control.get() {
+                    let peer = Address {
+                        node: peer,
+                        addr: tcp,
+                    };
+                    control.config.peer_version(peer, version);
+                }
+            }
+            MembershipAction::PullTable { tcp } => self.pull_table(tcp),
+            MembershipAction::AdoptIncarnation(incarnation) => {
+                slog::warn!(self.log, "an earlier run has a higher incarnation"; "adopted" => incarnation);
+            }
+            MembershipAction::Superseded(incarnation) => {
+                slog::error!(self.log, "a later run of this node has taken over"; "incarnation" => incarnation);
+                self.leaving.set(true);
+            }
+        }
+    }
+
+    fn member_event(self: &Rc<Self>, event: &MemberEvent) {
+        let now = self.clock.now();
+        let mut core = self.core.borrow_mut();
+        match event {
+            MemberEvent::Up { info, .. } => core.member_up(&info.node),
+            MemberEvent::Leaving { node } => core.member_leaving(node),
+            MemberEvent::Unreachable { node } => core.member_unreachable(node),
+            MemberEvent::Dead { node } => core.member_dead(node),
+            MemberEvent::Load { node, load } => {
+                let load = LoadReport {
+                    sequences: load.running.into(),
+                    kv_tokens: 0,
+                    queued: load.queued.into(),
+                };
+                core.report_load(now, node, load);
+            }
+            MemberEvent::Detail { .. }
+            | MemberEvent::Suspect { .. }
+            | MemberEvent::Forgotten { .. } => {}
+        }
+        drop(core);
+        if !matches!(event, MemberEvent::Load { .. }) {
+            slog::info!(self.log, "member changed"; "event" => ?event);
+            self.refresh_entries();
+        }
+        self.flush();
+    }
+
+    fn refresh_entries(self: &Rc<Self>) {
+        let Some(control) = self.control.get() else {
+            return;
+        };
+        let entries = control.members.live_entries();
+        if *control.entries.borrow() == entries {
+            return;
+        }
+        control.entries.borrow_mut().clone_from(&entries);
+        self.set_entries(&entries);
+        let names = entries.into_iter().map(|e| e.node).collect();
+        control.config.set_entries(names);
+    }
+
+    fn pull_table(&self, tcp: std::net::SocketAddr) {
+        let Some((control, links)) = self.control.get().zip(self.links.get()) else {
+            return;
+        };
+        let find = |machine: &coriandercove_state::membership::EntryMembership| {
+            let mut records = machine.records().map(|r| &r.info);
+            records.find(|info| info.tcp == tcp).map(members::address)
+        };
+        if let Some(peer) = control.members.with_entry(find).flatten() {
+            // Membership asks again if the table does not come.
+            let _ = links.send(&peer, Frame::PullMembers);
+        }
+    }
+
+    /// Takes frames of membership and configuration; returns any other frame.
+    pub(super) fn control_frame(&self, from: &PeerInfo, frame: Frame) -> Option<Frame> {
+        let control = self.control.get()?;
+        match control.config.frame(from, frame)? {
+            Frame::PullMembers => self.send_table(control, &from.address()),
+            Frame::Members(bytes) => match postcard::from_bytes::<Vec<MemberRecord>>(&bytes) {
+                Ok(records) => control.members.event(MembershipEvent::Table(records)),
+                Err(_) => count(&self.dropped, "reason", "malformed"),
+            },
+            Frame::Leaving => {
+                self.core.borrow_mut().member_leaving(&from.node);
+            }
+            other => return Some(other),
+        }
+        None
+    }
+
+    fn send_table(&self, control: &Control, to: &Address) {
+        let table = control.members.with_entry(|machine| machine.table());
+        let bytes = table.and_then(|table| postcard::to_stdvec(&table).ok());
+        if let Some((links, bytes)) = self.links.get().zip(bytes) {
+            // The entry that asked asks again if the table does not come.
+            let _ = links.send(to, Frame::Members(Bytes::from(bytes)));
+        }
+    }
+
+    /// Takes a view of the VM list. The list does not name roles: a VM that the configuration
+    /// names as a target has an agent, any other an entry.
+    fn vms_listed(&self, vms: Vec<coriandercove_platform::Vm>) {
+        let (Some(view), Some(control)) = (self.view(), self.control.get()) else {
+            return;
+        };
+        let listed = vms.into_iter().map(|vm| {
+            let is_target = view.config.target(&vm.name).is_some();
+            VmListed {
+                leaving: vm.state == VmState::Leaving,
+                info: MemberInfo {
+                    node: vm.name.into(),
+                    zone: vm.zone,
+                    role: if is_target { Role::Agent } else { Role::Entry },
+                    udp: vm.address,
+                    tcp: vm.address,
+                    detail: String::new(),
+                    detail_version: 0,
+                },
+            }
+        });
+        let event = MembershipEvent::VmList(listed.collect());
+        control.members.event(event);
+    }
+}
--- a/crates/coriandercove_entry/src/runtime/handler.rs
+++ b/crates/coriandercove_entry/src/runtime/handler.rs
@@ -28,6 +28,9 @@
             return;
         };
         let now = entry.clock.now();
+        let Some(frame) = entry.control_frame(from, frame) else {
+            return entry.flush();
+        };
         match frame {
             Frame::Token(token) => entry.core.borrow_mut().token(now, &token),
             Frame::StageFailed(failure) => entry.core.borrow_mut().stage_failed(now, &failure),
@@ -73,6 +76,9 @@
         };
         entry.core.borrow_mut().link_down(entry.clock.now(), node);
         entry.calls.link_down(node);
+        if let Some(control) = entry.control.get() {
+            control.config.link_down(node);
+        }
         entry.once_link_down(node);
         entry.flush();
     }
@@ -82,6 +88,9 @@
             return;
         };
         for frame in frames {
+            if let Some(control) = entry.control.get() {
+                control.config.undelivered(&to.node, &frame);
+            }
             match &frame {
                 Frame::Call(call) => match &call.ticket {
                     Some(ticket) => entry.once_not_sent(ticket.id),
--- a/crates/coriandercove_local/src/agent.rs
+++ b/crates/coriandercove_local/src/agent.rs
@@ -1,5 +1,6 @@
 //! An agent with the stand-in of its target.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::SystemTime;
 
@@ -64,11 +65,16 @@
 }
 
 impl AgentRole {
-    /// Starts the agent of a target.
+    /// Starts the agent of a target, which learns from the entries at `seeds`.
     ///
     /// # Errors
     /// [`RoleError`] if it does not start.
-    pub fn start(own: PeerInfo, key: &ClusterKey, standin: Standin) -> Result<Self, RoleError> {
+    pub fn start(
+        own: PeerInfo,
+        key: &ClusterKey,
+        seeds: Vec<SocketAddr>,
+        standin: Standin,
+    ) -> Result<Self, RoleError> {
         let (url, is_engine, key) = (standin.url(), standin.is_engine(), key.clone());
         let name = own.node.to_string();
         let start = move || async move {
@@ -78,7 +84,8 @@
             } else {
                 Backend::Service(Rc::new(HttpService::new(client, &url)))
             };
-            Agent::start(AgentConfig::new(own, key, backend, discard())).await
+            let cfg = AgentConfig::new(own, key, backend, discard()).with_seeds(seeds);
+            Agent::start(cfg).await
         };
         let (role, info) = Role::start(&name, start, Agent::own)?;
         Ok(Self {
--- a/crates/coriandercove_local/src/deployment.rs
+++ b/crates/coriandercove_local/src/deployment.rs
@@ -1,14 +1,19 @@
 //! Starting, changing and ending a local deployment.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use coriandercove_base::{ConfigVersion, NodeId, ZoneId};
 use coriandercove_config::keys::generate_key;
-use coriandercove_config::{Account, Config, Placement, Site, Target, TargetKind, Zone};
-use coriandercove_peer::{Address, ClusterKey, PeerInfo, Role as PeerRole};
+use coriandercove_config::{Account, Config, Objects, Placement, Site, Target, TargetKind, Zone};
+use coriandercove_entry::Entry;
+use coriandercove_node::config::{accept, edit};
+use coriandercove_node::store::http_store;
+use coriandercove_peer::{ClusterKey, PeerInfo, Role as PeerRole};
 use coriandercove_standin::engine::{self, CostModel, EngineSettings};
 use coriandercove_standin::service::{self, Effects, ServiceSettings};
 use coriandercove_standin::store::{self, StoreHandle, StoreSettings};
+use coriandercove_state::config_log::{AcceptError, Edit};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use snafu::{ResultExt, Snafu};
@@ -22,6 +27,11 @@
 const ANY_PORT: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
+/// Longest wait until a configuration is in force everywhere, the goal for the planned size.
+const READY_LIMIT: Duration = Duration::from_secs(15);
+/// Time between two looks at the entries while waiting.
+const READY_POLL: Duration = Duration::from_millis(20);
+
 /// A deployment that could not be started.
 #[derive(Debug, Snafu)]
 pub enum DeploymentError {
@@ -39,6 +49,18 @@
         /// Cause.
         source: RoleError,
     },
+    /// A configuration was not accepted.
+    #[snafu(display("the configuration is not accepted: {source}"))]
+    Accept {
+        /// Cause.
+        source: AcceptError,
+    },
+    /// The entries did not reach the configuration, or do not know each other.
+    #[snafu(display("the entries are not ready with version {version} after {READY_LIMIT:?}"))]
+    NotReady {
+        /// Version of the configuration.
+        version: ConfigVersion,
+    },
 }
 
 /// A running deployment. Dropping it kills all roles.
@@ -55,6 +77,8 @@
     pub store: StoreHandle,
     config: Config,
     version: ConfigVersion,
+    /// The objects of `version`.
+    published: Objects,
     caller_key: String,
     /// Agents started so far, for the names of new ones.
     started: usize,
@@ -84,20 +108,21 @@
             effects: Effects::default(),
             config,
             version: 0,
+            published: Objects::new(),
             caller_key: new_key.key,
             started: 0,
             plan,
         };
+        for i in 0..deployment.plan.entries {
+            deployment.add_entry(i)?;
+        }
         for engine in deployment.plan.engines.clone() {
             deployment.add_engine(&engine)?;
         }
         for _ in 0..deployment.plan.service_replicas {
             deployment.add_service()?;
         }
-        for i in 0..deployment.plan.entries {
-            deployment.add_entry(i)?;
-        }
-        deployment.publish();
+        deployment.publish()?;
         Ok(deployment)
     }
 
@@ -152,12 +177,27 @@
         standin: Standin,
     ) -> Result<PeerInfo, DeploymentError> {
         let own = peer_info(name, zone, PeerRole::Agent);
-        let agent = AgentRole::start(own, &self.key, standin).context(StartRoleSnafu)?;
+        let agent =
+            AgentRole::start(own, &self.key, self.seeds(), standin).context(StartRoleSnafu)?;
         let info = agent.info.clone();
         self.agents.push(agent);
         Ok(info)
     }
 
+    /// Starts another entry, which learns from the entries that run.
+    ///
+    /// # Errors
+    /// [`DeploymentError`] if it does not start.
+    pub fn join_entry(&mut self) -> Result<(), DeploymentError> {
+        self.add_entry(self.entries.len())
+    }
+
+    /// Version of the configuration accepted last.
+    #[must_use]
+    pub const fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
     fn add_entry(&mut self, i: usize) -> Result<(), DeploymentError> {
         let name: NodeId = format!("entry-{}", i + 1).into();
         let zone = self.config.zones[i % self.config.zones.len()].name.clone();
@@ -167,7 +207,14 @@
             callers.set_port(self.plan.first_port + i as u16);
         }
         let seed = self.plan.seed.wrapping_mul(1000).wrapping_add(i as u64);
-        let entry = EntryRole::start(own, self.key.clone(), callers, self.store.url(), Some(seed));
+        let entry = EntryRole::start(
+            own,
+            self.key.clone(),
+            callers,
+            self.store.url(),
+            self.seeds(),
+            Some(seed),
+        );
         self.entries.push(entry.context(StartRoleSnafu)?);
         Ok(())
     }
@@ -199,20 +246,46 @@
         }
     }
 
-    /// Puts the configuration in force at all entries.
-    pub fn publish(&mut self) {
+    /// Accepts the configuration in the store and waits until it is in force at all entries.
+    ///
+    /// # Errors
+    /// [`DeploymentError`] if it is not accepted or does not come in force in time.
+    pub fn publish(&mut self) -> Result<(), DeploymentError> {
         self.config.sort();
-        self.version += 1;
-        let addresses: Vec<Address> = self
-            .entries
-            .iter()
-            .filter_map(|e| e.address.clone())
-            .collect();
-        for entry in &self.entries {
-            entry.set_config(self.version, self.config.clone());
-            let addresses = addresses.clone();
-            entry.role.run(move |entry| entry.set_entries(&addresses));
+        let objects = self.config.to_objects();
+        let edit = edit(&self.published, &objects);
+        if edit != Edit::default() {
+            let accepted = accept_blocking(self.store.url(), self.version, edit);
+            self.version = accepted.context(AcceptSnafu)?;
+            self.published = objects;
         }
+        self.wait_ready()
+    }
+
+    /// Waits until all entries have the version in force and know each other.
+    fn wait_ready(&self) -> Result<(), DeploymentError> {
+        let (version, entries) = (self.version, self.entries.len());
+        let is_ready = move |entry: &Entry| {
+            entry.config_version() >= version && entry.live_entries().len() >= entries
+        };
+        let end = Instant::now() + READY_LIMIT;
+        while Instant::now() < end {
+            if self
+                .entries
+                .iter()
+                .all(|e| e.role.ask(is_ready) != Some(false))
+            {
+                return Ok(());
+            }
+            std::thread::sleep(READY_POLL);
+        }
+        NotReadySnafu { version }.fail()
+    }
+
+    /// Peer addresses of the entries.
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let addresses = self.entries.iter().filter_map(|e| e.address.as_ref());
+        addresses.map(|a| a.addr).collect()
     }
 
     /// Ends the VM of a target as a crash would. The configuration still names it.
@@ -256,6 +329,23 @@
     }
 }
 
+/// Accepts a change on a thread of its own, because the caller may have a runtime.
+fn accept_blocking(
+    url: String,
+    expected: ConfigVersion,
+    edit: Edit,
+) -> Result<ConfigVersion, AcceptError> {
+    let work = move || {
+        let write_id = rand::Rng::random(&mut StdRng::from_os_rng());
+        actix_rt::System::new().block_on(async move {
+            accept(http_store(&url), expected, write_id, "local", edit).await
+        })
+    };
+    let version = expected + 1;
+    let unsettled = |_| Err(AcceptError::Unsettled { version });
+    std::thread::spawn(work).join().unwrap_or_else(unsettled)
+}
+
 fn peer_info(name: &NodeId, zone: &ZoneId, role: PeerRole) -> PeerInfo {
     PeerInfo {
         node: name.clone(),
--- a/crates/coriandercove_local/src/entry.rs
+++ b/crates/coriandercove_local/src/entry.rs
@@ -2,9 +2,7 @@
 
 use std::net::SocketAddr;
 
-use coriandercove_base::ConfigVersion;
 use coriandercove_base::telemetry::discard;
-use coriandercove_config::Config;
 use coriandercove_entry::{Entry, EntryConfig};
 use coriandercove_node::store::http_store;
 use coriandercove_peer::{Address, ClusterKey, PeerInfo};
@@ -32,7 +30,8 @@
 }
 
 impl EntryRole {
-    /// Starts an entry that serves callers at `callers` and uses the store at the URL `store`.
+    /// Starts an entry that serves callers at `callers` uses the store at the URL `store`
+    /// and learns the other entries from `seeds`.
     ///
     /// # Errors
     /// [`RoleError`] if it does not start.
@@ -41,12 +40,14 @@
         key: ClusterKey,
         callers: SocketAddr,
         store: String,
+        seeds: Vec<SocketAddr>,
         seed: Option<u64>,
     ) -> Result<Self, RoleError> {
         let name = own.node.to_string();
         let start = move || async move {
             let mut cfg = EntryConfig::new(own, key, callers, discard())
-                .with_platform_store(http_store(&store));
+                .with_platform_store(http_store(&store))
+                .with_seeds(seeds);
             if let Some(seed) = seed {
                 cfg = cfg.with_seed(seed);
             }
@@ -60,10 +61,4 @@
             address,
         })
     }
-
-    /// Puts a configuration in force.
-    pub fn set_config(&self, version: ConfigVersion, config: Config) {
-        self.role
-            .run(move |entry| entry.set_config(version, config));
-    }
 }
--- /dev/null
+++ b/crates/coriandercove_local/tests/control.rs
@@ -0,0 +1,139 @@
+//! Configuration and membership through a whole deployment.
+#![expect(clippy::unwrap_used, reason = "a failure ends the test with its place")]
+
+use std::net::UdpSocket;
+use std::time::{Duration, Instant};
+
+use coriandercove_base::NodeId;
+use coriandercove_local::{Deployment, EnginePlan, EntryRole, Plan};
+use coriandercove_standin::store::Outage;
+use googletest::prelude::*;
+
+/// Longest wait for a condition. A run that is not stuck needs far less.
+const BOUND: Duration = Duration::from_secs(60);
+
+fn wait_for(mut condition: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + BOUND;
+    while Instant::now() < end {
+        if condition() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+fn uses(entry: &EntryRole, target: &NodeId) -> bool {
+    let target = target.clone();
+    entry.role.ask(move |e| e.uses_target(&target)).unwrap()
+}
+
+fn all_entries_use(deployment: &Deployment, target: &NodeId, used: bool) -> bool {
+    deployment.entries.iter().all(|e| uses(e, target) == used)
+}
+
+/// Guards against a change that reaches the entries, which watch the store, but not the agents,
+/// which learn from peers only.
+#[gtest]
+fn a_change_comes_in_force_at_entries_and_agents() {
+    let mut deployment = Deployment::start(Plan::small()).unwrap();
+    for priority in [2, 3] {
+        deployment.config_mut().pipelines[0].priority = priority;
+        deployment.publish().unwrap();
+        let version = deployment.version();
+        expect_true!(
+            wait_for(|| deployment
+                .agents
+                .iter()
+                .all(|a| a.role.ask(|a| a.config_version()) == Some(version))),
+            "version {version} at all agents"
+        );
+    }
+    expect_that!(deployment.version(), eq(3));
+}
+
+/// Guards against an entry that cannot start, or claims to be ready without a configuration, while
+/// the store is down.
+#[gtest]
+fn an_entry_that_starts_while_the_store_is_down_learns_from_peers() {
+    let mut deployment = Deployment::start(Plan::small()).unwrap();
+    deployment.config_mut().pipelines[0].priority = 2;
+    deployment.publish().unwrap();
+    deployment
+        .store
+        .faults()
+        .update(|f| f.outage = Outage::Refuse);
+    deployment.join_entry().unwrap();
+    let version = deployment.version();
+    let joined = deployment.entries.last().unwrap();
+    expect_true!(wait_for(|| {
+        joined.role.ask(|e| e.config_version()) == Some(version)
+    }));
+    expect_true!(
+        wait_for(|| deployment
+            .entries
+            .iter()
+            .all(|e| e.role.ask(|e| e.live_entries().len()) == Some(3))),
+        "all entries know the new one"
+    );
+}
+
+/// Guards against new work for a target that leaves or is dead, and against a joining target that
+/// gets none.
+#[gtest]
+fn entries_follow_targets_that_leave_die_and_join() {
+    let mut deployment = Deployment::start(Plan::small()).unwrap();
+    let (leaving, dying) = (
+        deployment.agents[0].info.node.clone(),
+        deployment.agents[1].info.node.clone(),
+    );
+    expect_true!(all_entries_use(&deployment, &leaving, true));
+    deployment.agents[0].role.run(|agent| agent.leave());
+    expect_true!(
+        wait_for(|| all_entries_use(&deployment, &leaving, false)),
+        "a leaving target gets no work"
+    );
+    deployment.kill_target(&dying);
+    expect_true!(
+        wait_for(|| all_entries_use(&deployment, &dying, false)),
+        "a dead target gets no work"
+    );
+    let plan = EnginePlan {
+        first_layer: 0,
+        end_layer: 8,
+        accelerator: "a10".to_owned(),
+        zone: "a".into(),
+    };
+    let joined = deployment.add_engine(&plan).unwrap();
+    deployment.publish().unwrap();
+    expect_true!(
+        wait_for(|| all_entries_use(&deployment, &joined, true)),
+        "a new target gets work"
+    );
+    // A new configuration must not bring back those who left or died.
+    expect_true!(all_entries_use(&deployment, &leaving, false));
+    expect_true!(all_entries_use(&deployment, &dying, false));
+}
+
+/// Guards against a panic or a change of membership by datagrams and connections of strangers.
+#[gtest]
+fn strangers_are_counted_and_change_nothing() {
+    let deployment = Deployment::start(Plan::small()).unwrap();
+    let entry = &deployment.entries[0];
+    let address = entry.address.clone().unwrap().addr;
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for length in [0, 1, 16, 17, 200, 1400, 2000] {
+        stranger.send_to(&vec![0x5a; length], address).unwrap();
+    }
+    let mut link = std::net::TcpStream::connect(address).unwrap();
+    std::io::Write::write_all(&mut link, &[0x5a; 4096]).unwrap();
+    let metric = "coriandercove_datagrams_dropped_total{reason=\"foreign\"} 7";
+    expect_true!(wait_for(|| {
+        let metrics = entry.role.ask(|e| e.metrics().encode()).unwrap();
+        metrics.lines().any(|line| line == metric)
+    }));
+    expect_that!(
+        entry.role.ask(|e| e.live_entries().len()),
+        some(eq(deployment.entries.len()))
+    );
+}
--- a/crates/coriandercove_local/tests/streams.rs
+++ b/crates/coriandercove_local/tests/streams.rs
@@ -89,7 +89,7 @@
         zone: "a".into(),
     };
     deployment.add_engine(&joining).unwrap();
-    deployment.publish();
+    deployment.publish().unwrap();
     for (i, (tokens, whole)) in callers.join().unwrap().into_iter().enumerate() {
         expect_true!(whole, "stream {i}");
         expect_that!(
--- /dev/null
+++ b/crates/coriandercove_node/src/config/tests.rs
@@ -0,0 +1,39 @@
+use std::rc::Rc;
+
+use coriandercove_config::{Config, Site};
+use coriandercove_platform::{MemoryStore, Store};
+use coriandercove_state::config_log::AcceptError;
+use googletest::prelude::*;
+
+use super::{accept, edit};
+
+fn config(site: &str) -> coriandercove_config::Objects {
+    let site = Site {
+        name: site.to_owned(),
+        region: "kyushu".to_owned(),
+    };
+    let config = Config {
+        sites: vec![site],
+        ..Config::default()
+    };
+    config.to_objects()
+}
+
+/// Guards against two operators who both believe that their change is the next version, and against
+/// a lost answer that makes a change count twice.
+#[gtest]
+fn one_of_two_changes_on_the_same_version_wins() {
+    actix_rt::System::new().block_on(async {
+        let memory = MemoryStore::default();
+        let store: Rc<dyn Store> = Rc::new(memory.clone());
+        let empty = coriandercove_config::Objects::new();
+        let (one, two) = (config("kumamoto"), config("fukuoka"));
+        let first = accept(Rc::clone(&store), 0, 1, "ume", edit(&empty, &one)).await;
+        expect_that!(first, ok(eq(&1)));
+        let second = accept(Rc::clone(&store), 0, 2, "ran", edit(&empty, &two)).await;
+        expect_that!(second, err(matches_pattern!(AcceptError::Conflict { .. })));
+        memory.lose_answers(1);
+        let third = accept(Rc::clone(&store), 1, 3, "ran", edit(&one, &two)).await;
+        expect_that!(third, ok(eq(&2)));
+    });
+}
--- a/crates/coriandercove_node/src/lib.rs
+++ b/crates/coriandercove_node/src/lib.rs
@@ -1,3 +1,10 @@
 //! Runtime parts that entry and agent share.
 
+pub mod config;
+pub mod datagrams;
+pub mod members;
 pub mod store;
+
+pub use config::ConfigRunner;
+pub use datagrams::Datagrams;
+pub use members::{Machine, Members};
--- a/crates/coriandercove_peer/src/frame.rs
+++ b/crates/coriandercove_peer/src/frame.rs
@@ -95,6 +95,10 @@
         Ping,
         /// Answer to [`Frame::Ping`].
         Pong,
+        /// Asks an entry for its whole member table.
+        PullMembers,
+        /// Answer to [`Frame::PullMembers`], encoded by membership.
+        Members(Bytes),
     }
 
     /// One stage of a chain.
