--- a/crates/coriandercove_bench/src/scenario/steady.rs
+++ b/crates/coriandercove_bench/src/scenario/steady.rs
@@ -180,7 +180,7 @@
 /// get all that it got alone.
 pub fn fairness(cx: &Context) -> Result<Outcome, BenchError> {
     let mut deployment = deployment(cx, Fleet::Mixed)?;
-    let large_key = add_account(&mut deployment, "large", cx.seed);
+    let large_key = add_account(&mut deployment, "large", cx.seed)?;
     let rate = answers(cx, &deployment) * 0.3;
     let small = cx.load(&deployment, Arrivals::Open(rate));
     let alone = small.run()?;
@@ -207,7 +207,7 @@
 }
 
 /// Adds an account like the deployment's own; returns its key.
-fn add_account(deployment: &mut Deployment, name: &str, seed: u64) -> String {
+fn add_account(deployment: &mut Deployment, name: &str, seed: u64) -> Result<String, BenchError> {
     let new_key = generate_key(&mut StdRng::seed_from_u64(seed));
     let config = deployment.config_mut();
     let account = Account {
@@ -220,6 +220,6 @@
         keys: vec![new_key.hash],
     };
     config.accounts.push(account);
-    deployment.publish();
-    new_key.key
+    deployment.publish()?;
+    Ok(new_key.key)
 }
--- a/crates/coriandercove_local/src/agent.rs
+++ b/crates/coriandercove_local/src/agent.rs
@@ -1,5 +1,6 @@
 //! An agent with the stand-in of its target.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::SystemTime;
 
@@ -65,13 +66,14 @@
 }
 
 impl AgentRole {
-    /// Starts the agent of a target.
+    /// Starts the agent of a target, which learns from the entries at `seeds`.
     ///
     /// # Errors
     /// [`RoleError`] if it does not start.
     pub fn start(
         own: PeerInfo,
         key: &ClusterKey,
+        seeds: Vec<SocketAddr>,
         standin: Standin,
         network: Option<&Network>,
     ) -> Result<Self, RoleError> {
@@ -85,7 +87,7 @@
             } else {
                 Backend::Service(Rc::new(HttpService::new(client, &url)))
             };
-            let mut cfg = AgentConfig::new(own, key, backend, discard());
+            let mut cfg = AgentConfig::new(own, key, backend, discard()).with_seeds(seeds);
             if let Some(shaper) = shaper {
                 cfg = cfg.with_shaper(Rc::new(shaper));
             }
