Answer claimed keys from memory during an outage, and refuse unsettled claims as not_run

Cause: a shard that met the outage with a change in its queue gave that change up without asking memory, and the callers' endpoint reported a claim that could not be settled as unknown. Change: a shard gives up only what memory does not decide.

--- a/crates/coriandercove_entry/src/http/service.rs
+++ b/crates/coriandercove_entry/src/http/service.rs
@@ -209,6 +209,19 @@
                 "the call did not run",
             )
         }
+        OnceOutcome::Unknown(Doubt::ClaimUnsettled) => {
+            // The ticket was never dispatched and never will be. Only its claim may still be
+            // written, and a repeat finds out that the ticket did not run.
+            let message = "the call did not run; its claim could not be written in time";
+            refusal(
+                entry,
+                id,
+                503,
+                "store_unavailable",
+                Outcome::NotRun,
+                message,
+            )
+        }
         OnceOutcome::Unknown(doubt) => {
             let message = "the call may have run; ask at `GET /v1/requests/{key}` later";
             refusal(
--- a/crates/coriandercove_state/src/claim/shard.rs
+++ b/crates/coriandercove_state/src/claim/shard.rs
@@ -208,7 +208,7 @@
     }
 
     /// Result of a change while the store cannot be reached: memory may already decide it.
-    fn without_store(&self, change: &Change) -> ChangeResult {
+    pub(super) fn without_store(&self, change: &Change) -> ChangeResult {
         match self.view.judge(change) {
             Verdict::Refused(claim) => ChangeResult::Refused(claim),
             Verdict::Applied => ChangeResult::Written,
