--- a/crates/coriandercove_bench/src/scenario/failures.rs
+++ b/crates/coriandercove_bench/src/scenario/failures.rs
@@ -129,7 +129,7 @@
         deployment.kill_target(&name);
         if let Some(joining) = joining {
             deployment.add_engine(&joining)?;
-            deployment.publish();
+            deployment.publish()?;
         }
         Ok(())
     })
--- a/crates/coriandercove_entry/tests/streams/world.rs
+++ b/crates/coriandercove_entry/tests/streams/world.rs
@@ -199,7 +199,7 @@
         for e in 0..ENTRIES {
             let entry = &mut self.entries[e];
             entry.told_leaving.retain(|t| *t != ENTRIES + a);
-            entry.core.member_joined(self.now, &name(ENTRIES + a));
+            entry.core.member_up(self.now, &name(ENTRIES + a));
         }
     }
 
--- a/crates/coriandercove_peer/src/frame.rs
+++ b/crates/coriandercove_peer/src/frame.rs
@@ -111,6 +111,10 @@
         },
         /// How far a stage has come.
         Progress(StageProgress),
+        /// Asks an entry for its whole member table.
+        PullMembers,
+        /// Answer to [`Frame::PullMembers`], encoded by membership.
+        Members(Bytes),
     }
 
     /// What an agent was asked about a ticket.
