--- a/crates/coriandercove_entry/src/core/router.rs
+++ b/crates/coriandercove_entry/src/core/router.rs
@@ -1,7 +1,5 @@
 //! Known targets and their addresses, on top of the chain planner.
 
-mod members;
-
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,9 +9,10 @@
 use coriandercove_peer::Address;
 use coriandercove_policy::RefusalReason;
 use coriandercove_policy::chain::{
-    Candidate, Chain, ChainRequest, LinkCost, NoChain, Planner, PlannerConfig, TargetState,
+    Candidate, Chain, ChainRequest, LinkCost, LoadReport, NoChain, Planner, PlannerConfig, TargetState,
 };
 
+use super::fault::{self, Fault};
 use super::stream::ChainNeed;
 
 /// Compute time of a layer on an accelerator for which the configuration gives none.
@@ -22,6 +21,17 @@
 /// Sequences that one iteration serves together.
 const BATCH_SLOTS: u32 = 32;
 
+/// What membership says of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Member {
+    /// It takes work.
+    Ready,
+    /// It takes no new work.
+    Leaving,
+    /// It is unreachable or dead.
+    Down,
+}
+
 /// Targets by what they serve.
 pub struct Router {
     zone: ZoneId,
@@ -32,14 +42,12 @@
     services: SortedMap<String, Vec<TargetId>>,
     /// Targets that get no new work until the time given.
     down: SortedMap<TargetId, Time>,
-    /// Targets that get no new work because of membership.
-    away: SortedMap<TargetId, TargetState>,
+    /// Targets that membership does not call ready.
+    members: SortedMap<TargetId, Member>,
     /// Live entries, this one included.
     entries: usize,
     /// Turns through the replicas of a service.
     turn: usize,
-    /// Time of the last tick or configuration.
-    now: Time,
 }
 
 impl Router {
@@ -53,16 +61,14 @@
             addresses: SortedMap::new(),
             services: SortedMap::new(),
             down: SortedMap::new(),
-            away: SortedMap::new(),
+            members: SortedMap::new(),
             entries: 1,
             turn: 0,
-            now: Time::ZERO,
         }
     }
 
     /// Replaces models, targets and links by those of a configuration.
-    pub fn set_config(&mut self, now: Time, config: &Config) {
-        self.now = now;
+    pub fn set_config(&mut self, _now: Time, config: &Config) {
         let old: Vec<TargetId> = self.addresses.keys().cloned().collect();
         for target in old.iter().filter(|t| config.target(t).is_none()) {
             self.planner.remove(target);
@@ -77,7 +83,6 @@
         for target in &config.targets {
             self.add_target(config, target);
         }
-        self.keep_members_away();
         for link in &config.links {
             let cost = LinkCost {
                 delay: link.delay,
@@ -102,6 +107,8 @@
             TargetKind::Engine { accelerator } => {
                 if let Some(candidate) = candidate(config, target, accelerator) {
                     self.planner.upsert(candidate);
+                    // What is known of the target outlives a new configuration.
+                    self.refresh(&target.id);
                 }
             }
         }
@@ -118,10 +125,10 @@
         self.models.contains(model)
     }
 
-    /// Requests that each model takes at once from this entry.
+    /// Requests of each model that this entry may have in progress.
     #[must_use]
-    pub fn slots(&self) -> Vec<(ModelId, u32)> {
-        let share = |model: &ModelId| self.planner.own_slots(model, self.entries, self.now);
+    pub fn slots(&self, now: Time) -> Vec<(ModelId, u32)> {
+        let share = |model: &ModelId| self.planner.own_slots(model, self.entries, now);
         self.models.keys().map(|m| (m.clone(), share(m))).collect()
     }
 
@@ -213,7 +220,7 @@
     pub fn choose_replica(&mut self, service: &str, exclude: &[TargetId]) -> Option<Address> {
         let targets = self.services.get(service)?;
         self.turn = self.turn.wrapping_add(1);
-        let usable = |t: &&TargetId| !exclude.contains(t) && self.is_usable(t);
+        let usable = |t: &&TargetId| !exclude.contains(t) && self.state(t) == TargetState::Ready;
         let n = targets.len();
         let in_turn = (0..n).map(|i| &targets[(self.turn + i) % n]);
         in_turn
@@ -242,23 +249,68 @@
     /// Gives a target no new work until `until`.
     pub fn mark_down(&mut self, node: &NodeId, until: Time) {
         if self.addresses.contains(node) {
-            self.planner.set_state(node, TargetState::Down);
             self.down.insert(node.clone(), until);
+            self.refresh(node);
+        }
+    }
+
+    /// Whether a target is out of reach as far as this entry knows.
+    #[must_use]
+    pub fn is_down(&self, target: &TargetId) -> bool {
+        self.state(target) == TargetState::Down
+    }
+
+    /// Whether a target gets new work.
+    #[must_use]
+    pub fn is_ready(&self, target: &TargetId) -> bool {
+        self.state(target) == TargetState::Ready
+    }
+
+    /// Takes in the load of a target, which lags.
+    pub fn report_load(&mut self, now: Time, target: &TargetId, load: LoadReport) {
+        self.planner.report_load(target, now, load);
+    }
+
+    /// Takes in what membership says of a target.
+    pub fn set_member(&mut self, node: &NodeId, member: Member) {
+        if member == Member::Ready {
+            self.members.remove(node);
+            self.down.remove(node);
+        } else {
+            self.members.insert(node.clone(), member);
+        }
+        self.refresh(node);
+    }
+
+    fn state(&self, target: &TargetId) -> TargetState {
+        let member = self.members.get(target);
+        if self.down.contains(target) || member == Some(&Member::Down) {
+            TargetState::Down
+        } else if member == Some(&Member::Leaving) && !fault::is_on(Fault::UseLeaving) {
+            TargetState::Leaving
+        } else {
+            TargetState::Ready
         }
     }
 
+    fn refresh(&mut self, target: &TargetId) {
+        let state = self.state(target);
+        self.planner.set_state(target, state);
+    }
+
     /// Gives targets work again whose time has passed.
     pub fn tick(&mut self, now: Time) {
-        self.now = now;
-        let (planner, away) = (&mut self.planner, &self.away);
+        let mut back = Vec::new();
         self.down.retain(|target, until| {
             let still_down = now < *until;
             if !still_down {
-                let state = away.get(target).copied().unwrap_or_default();
-                planner.set_state(target, state);
+                back.push(target.clone());
             }
             still_down
         });
+        for target in back {
+            self.refresh(&target);
+        }
     }
 }
 
--- a/crates/coriandercove_entry/src/runtime/control.rs
+++ b/crates/coriandercove_entry/src/runtime/control.rs
@@ -147,10 +147,9 @@
         let now = self.clock.now();
         let mut core = self.core.borrow_mut();
         match event {
-            MemberEvent::Up { info, .. } => core.member_up(&info.node),
-            MemberEvent::Leaving { node } => core.member_leaving(node),
-            MemberEvent::Unreachable { node } => core.member_unreachable(node),
-            MemberEvent::Dead { node } => core.member_dead(node),
+            MemberEvent::Up { info, .. } => core.member_joined(now, &info.node),
+            MemberEvent::Leaving { node } => core.member_leaving(now, node),
+            MemberEvent::Dead { node } => core.member_down(now, node),
             MemberEvent::Load { node, load } => {
                 let load = LoadReport {
                     sequences: load.running.into(),
@@ -159,7 +158,9 @@
                 };
                 core.report_load(now, node, load);
             }
-            MemberEvent::Detail { .. }
+            // The own connections to an unreachable member decide whether it gets work.
+            MemberEvent::Unreachable { .. }
+            | MemberEvent::Detail { .. }
             | MemberEvent::Suspect { .. }
             | MemberEvent::Forgotten { .. } => {}
         }
@@ -209,7 +210,8 @@
                 Err(_) => count(&self.dropped, "reason", "malformed"),
             },
             Frame::Leaving => {
-                self.core.borrow_mut().member_leaving(&from.node);
+                let now = self.clock.now();
+                self.core.borrow_mut().member_leaving(now, &from.node);
             }
             other => return Some(other),
         }
--- a/crates/coriandercove_entry/src/runtime/handler.rs
+++ b/crates/coriandercove_entry/src/runtime/handler.rs
@@ -5,7 +5,7 @@
 
 use coriandercove_base::telemetry::count;
 use coriandercove_base::{Clock, NodeId};
-use coriandercove_peer::{Address, Frame, LinkHandler, PeerInfo};
+use coriandercove_peer::{Address, Asked, Frame, LinkHandler, PeerInfo};
 
 use coriandercove_state::once::Event;
 
@@ -32,25 +32,23 @@
             return entry.flush();
         };
         match frame {
-            Frame::Token(token) => entry.core.borrow_mut().token(now, &token),
+            Frame::Token(token) => entry.core.borrow_mut().token(now, &from.address(), &token),
             Frame::StageFailed(failure) => entry.core.borrow_mut().stage_failed(now, &failure),
-            Frame::CallReply(reply) => entry.calls.reply(*reply),
-            Frame::TicketReply {
-                req,
-                ticket,
-                probe: true,
-                reply,
-            } => {
-                entry.probe_done(req, ticket, Some(reply));
+            Frame::Progress(progress) => {
+                entry.core.borrow_mut().progress(&from.node, &progress);
             }
+            Frame::Leaving => entry.core.borrow_mut().member_leaving(now, &from.node),
+            Frame::CallReply(reply) => entry.calls.reply(*reply),
             Frame::TicketReply {
                 req,
                 ticket,
-                probe: false,
+                asked,
                 reply,
-            } => {
-                entry.ticket_reply(req, ticket, reply);
-            }
+            } => match asked {
+                Asked::Dispatch => entry.ticket_reply(req, ticket, reply),
+                Asked::Probe => entry.probe_done(req, ticket, Some(reply)),
+                Asked::Peek => entry.peek_done(req, Some(reply)),
+            },
             Frame::ForwardClaim {
                 id,
                 service,
@@ -96,6 +94,7 @@
                     Some(ticket) => entry.once_not_sent(ticket.id),
                     None => entry.calls.not_sent(call.req),
                 },
+                Frame::Peek { req, .. } => entry.peek_done(*req, None),
                 Frame::ForwardClaim { id, .. } => entry.forward_ended(*id, None),
                 Frame::Probe { req, ticket } => entry.probe_done(*req, ticket.id, None),
                 _ => {}
--- a/crates/coriandercove_local/src/agent.rs
+++ b/crates/coriandercove_local/src/agent.rs
@@ -13,6 +13,7 @@
 use coriandercove_standin::service::ServiceHandle;
 use coriandercove_target::{HttpEngine, HttpService};
 
+use crate::network::Network;
 use crate::role::{Lifecycle, Role, RoleError};
 
 /// The stand-in beside an agent.
@@ -74,7 +75,9 @@
         key: &ClusterKey,
         seeds: Vec<SocketAddr>,
         standin: Standin,
+        network: Option<&Network>,
     ) -> Result<Self, RoleError> {
+        let shaper = network.map(|n| n.shaper(&own.node, &own.zone));
         let (url, is_engine, key) = (standin.url(), standin.is_engine(), key.clone());
         let name = own.node.to_string();
         let start = move || async move {
@@ -84,7 +87,10 @@
             } else {
                 Backend::Service(Rc::new(HttpService::new(client, &url)))
             };
-            let cfg = AgentConfig::new(own, key, backend, discard()).with_seeds(seeds);
+            let mut cfg = AgentConfig::new(own, key, backend, discard()).with_seeds(seeds);
+            if let Some(shaper) = shaper {
+                cfg = cfg.with_shaper(Rc::new(shaper));
+            }
             Agent::start(cfg).await
         };
         let (role, info) = Role::start(&name, start, Agent::own)?;
--- a/crates/coriandercove_local/src/deployment.rs
+++ b/crates/coriandercove_local/src/deployment.rs
@@ -10,7 +10,7 @@
 use coriandercove_node::config::{accept, edit};
 use coriandercove_node::store::http_store;
 use coriandercove_peer::{ClusterKey, PeerInfo, Role as PeerRole};
-use coriandercove_standin::engine::{self, CostModel, EngineSettings};
+use coriandercove_standin::engine;
 use coriandercove_standin::service::{self, Effects, ServiceSettings};
 use coriandercove_standin::store::{self, StoreHandle, StoreSettings};
 use coriandercove_state::config_log::{AcceptError, Edit};
@@ -133,7 +133,7 @@
     /// [`DeploymentError`] if a part does not start.
     pub fn add_engine(&mut self, engine: &EnginePlan) -> Result<NodeId, DeploymentError> {
         let name = self.next_name("engine");
-        let settings = engine_settings(&self.plan, engine, self.started as u64);
+        let settings = self.plan.engine_settings(engine, self.started as u64);
         let handle = engine::start(settings).context(StartStandinSnafu { name: &*name })?;
         let info = self.start_agent(&name, &engine.zone, Standin::Engine(handle))?;
         let kind = TargetKind::Engine {
@@ -177,8 +177,9 @@
         standin: Standin,
     ) -> Result<PeerInfo, DeploymentError> {
         let own = peer_info(name, zone, PeerRole::Agent);
-        let agent =
-            AgentRole::start(own, &self.key, self.seeds(), standin).context(StartRoleSnafu)?;
+        let network = self.plan.network.as_ref();
+        let agent = AgentRole::start(own, &self.key, self.seeds(), standin, network)
+            .context(StartRoleSnafu)?;
         let info = agent.info.clone();
         self.agents.push(agent);
         Ok(info)
@@ -214,6 +215,7 @@
             self.store.url(),
             self.seeds(),
             Some(seed),
+            self.plan.network.as_ref(),
         );
         self.entries.push(entry.context(StartRoleSnafu)?);
         Ok(())
@@ -356,21 +358,6 @@
     }
 }
 
-fn engine_settings(plan: &Plan, engine: &EnginePlan, seed: u64) -> EngineSettings {
-    let mut settings = EngineSettings::new(
-        &plan.model,
-        engine.first_layer,
-        engine.end_layer,
-        plan.layers,
-    );
-    settings.info.accelerator.clone_from(&engine.accelerator);
-    if let Some(cost) = CostModel::for_accelerator(&engine.accelerator) {
-        settings.cost = cost;
-    }
-    settings.seed = seed;
-    settings
-}
-
 fn base_config(plan: &Plan) -> Config {
     let mut zones: Vec<ZoneId> = plan.engines.iter().map(|e| e.zone.clone()).collect();
     zones.sort();
--- a/crates/coriandercove_local/src/entry.rs
+++ b/crates/coriandercove_local/src/entry.rs
@@ -1,12 +1,14 @@
 //! An entry on a thread of its own.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use coriandercove_base::telemetry::discard;
 use coriandercove_entry::{Entry, EntryConfig};
 use coriandercove_node::store::http_store;
 use coriandercove_peer::{Address, ClusterKey, PeerInfo};
 
+use crate::network::Network;
 use crate::role::{Lifecycle, Role, RoleError};
 
 /// An entry on a thread of its own.
@@ -30,7 +32,7 @@
 }
 
 impl EntryRole {
-    /// Starts an entry that serves callers at `callers` uses the store at the URL `store`
+    /// Starts an entry that serves callers at `callers`, uses the store at the URL `store`
     /// and learns the other entries from `seeds`.
     ///
     /// # Errors
@@ -42,7 +44,9 @@
         store: String,
         seeds: Vec<SocketAddr>,
         seed: Option<u64>,
+        network: Option<&Network>,
     ) -> Result<Self, RoleError> {
+        let shaper = network.map(|n| n.shaper(&own.node, &own.zone));
         let name = own.node.to_string();
         let start = move || async move {
             let mut cfg = EntryConfig::new(own, key, callers, discard())
@@ -51,6 +55,9 @@
             if let Some(seed) = seed {
                 cfg = cfg.with_seed(seed);
             }
+            if let Some(shaper) = shaper {
+                cfg = cfg.with_shaper(Rc::new(shaper));
+            }
             Entry::start(cfg).await
         };
         let describe = |entry: &Entry| (entry.callers(), entry.address());
--- a/crates/coriandercove_peer/src/frame.rs
+++ b/crates/coriandercove_peer/src/frame.rs
@@ -52,8 +52,8 @@
             req: RequestId,
             /// The ticket.
             ticket: TicketId,
-            /// Whether this answers a [`Frame::Probe`].
-            probe: bool,
+            /// What this answers.
+            asked: Asked,
             /// What the agent says.
             reply: TicketReply,
         },
@@ -64,6 +64,13 @@
             /// The ticket in question.
             ticket: Ticket,
         },
+        /// Asks what became of a ticket and leaves it as it is.
+        Peek {
+            /// The request that asks.
+            req: RequestId,
+            /// The ticket in question.
+            ticket: Ticket,
+        },
         /// The sender leaves and takes no new work.
         Leaving,
         /// Asks for configuration changes after a version.
@@ -95,12 +102,32 @@
         Ping,
         /// Answer to [`Frame::Ping`].
         Pong,
+        /// Asks an agent for the [`Frame::Progress`] of a stage.
+        AskProgress {
+            /// The request.
+            req: RequestId,
+            /// The attempt.
+            attempt: Attempt,
+        },
+        /// How far a stage has come.
+        Progress(StageProgress),
         /// Asks an entry for its whole member table.
         PullMembers,
         /// Answer to [`Frame::PullMembers`], encoded by membership.
         Members(Bytes),
     }
 
+    /// What an agent was asked about a ticket.
+    #[derive(Copy, Eq)]
+    pub enum Asked {
+        /// To run its call.
+        Dispatch,
+        /// What became of it; see [`Frame::Probe`].
+        Probe,
+        /// What became of it; see [`Frame::Peek`].
+        Peek,
+    }
+
     /// One stage of a chain.
     pub struct Hop {
         /// The agent and where it listens.
@@ -187,6 +214,21 @@
         pub reason: StageFailureReason,
     }
 
+    /// How far a stage has come; answer to [`Frame::AskProgress`].
+    #[derive(Copy, Eq)]
+    pub struct StageProgress {
+        /// The request.
+        pub req: RequestId,
+        /// The attempt that was asked for.
+        pub attempt: Attempt,
+        /// Whether the stage is open in this attempt.
+        pub open: bool,
+        /// Whether the engine has inputs of the stage that it has not answered.
+        pub running: bool,
+        /// Next position that the stage gives out.
+        pub next_out: Position,
+    }
+
     /// Why a stage cannot go on.
     #[derive(Copy, Eq)]
     pub enum StageFailureReason {
