Run entry and agent as processes

Cause: both programs had an empty main. The agent's name for its peers is the id of its target, which the configuration names. Before: the programs ended at once.

--- a/crates/coriandercove_agent/src/main.rs
+++ b/crates/coriandercove_agent/src/main.rs
@@ -1,3 +1,91 @@
-//! Starts the program.
+//! The agent as a process.
 
-fn main() {}
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use clap::Parser;
+use coriandercove_agent::engine::BatchLimits;
+use coriandercove_agent::stage::StageLimits;
+use coriandercove_agent::{Agent, AgentConfig, Backend};
+use coriandercove_base::http::{HttpClient, HttpLimits};
+use coriandercove_base::telemetry::logger;
+use coriandercove_config::settings::{
+    AgentArgs, AgentSettings, Secrets, Startup, TargetRole, process_env,
+};
+use coriandercove_node::process::{FAILED, INVALID, Stop, fail, incarnation, print};
+use coriandercove_operator::OperationsServerBuilder;
+use coriandercove_peer::{ClusterKey, PeerInfo, Role};
+use coriandercove_target::{HttpEngine, HttpService};
+use slog::Logger;
+
+/// Time for one forward call to the engine.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(5);
+
+fn main() -> ExitCode {
+    match AgentArgs::parse().startup(process_env()) {
+        Ok(Startup::Print(text)) => print(&text),
+        Ok(Startup::Run(settings, secrets)) => {
+            let log = logger(settings.log);
+            match actix_rt::System::new().block_on(run(&settings, secrets, log)) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(e) => fail(FAILED, &format!("the agent cannot run: {e}")),
+            }
+        }
+        Err(problems) => fail(INVALID, &problems),
+    }
+}
+
+async fn run(settings: &AgentSettings, secrets: Secrets, log: Logger) -> std::io::Result<()> {
+    let mut agent = Agent::start(config(settings, &secrets, &log)).await?;
+    let stop = Stop::new();
+    let region = settings.region.clone();
+    let operations = agent.operations(region, Rc::clone(&stop));
+    let server = OperationsServerBuilder::new(operations, secrets.operator_token)
+        .metrics(agent.metrics().clone())
+        .log(log.clone());
+    let _server = server.bind(settings.operations)?;
+    slog::info!(log, "agent runs"; "target" => &*settings.target_id, "peer" => %settings.peer);
+    if let Some(deadline) = stop.wait().await? {
+        agent.set_drain_deadline(deadline);
+    }
+    slog::info!(log, "agent leaves"; "in_progress" => agent.in_progress());
+    agent.drain().await;
+    slog::info!(log, "agent has left");
+    Ok(())
+}
+
+/// Peers know the agent by the id of its target, which the configuration names.
+fn config(settings: &AgentSettings, secrets: &Secrets, log: &Logger) -> AgentConfig {
+    let own = PeerInfo {
+        node: settings.target_id.clone(),
+        incarnation: incarnation(),
+        zone: settings.zone.clone(),
+        role: Role::Agent,
+        listen: settings.peer,
+    };
+    let key = ClusterKey::from_secret(secrets.cluster_key.expose());
+    let client = HttpClient::new(HttpLimits::default());
+    let url = &settings.target.url;
+    let backend = match settings.target.kind {
+        TargetRole::Engine => Backend::Engine(Rc::new(HttpEngine::new(client, url))),
+        TargetRole::Service => Backend::Service(Rc::new(HttpService::new(client, url))),
+    };
+    let limits = &settings.limits;
+    let stages = StageLimits {
+        max_streams: limits.streams as usize,
+        max_retained_bytes: usize::try_from(limits.retained_bytes).unwrap_or(usize::MAX),
+        entry_grace: limits.entry_grace,
+        ..StageLimits::default()
+    };
+    let batch = BatchLimits {
+        calls: limits.forward_calls as usize,
+        items: limits.batch_items as usize,
+        timeout: FORWARD_TIMEOUT,
+    };
+    AgentConfig::new(own, key, backend, log.clone())
+        .with_stages(stages)
+        .with_batch(batch)
+        .with_drain_deadline(settings.drain_deadline)
+        .with_seeds(settings.seeds.clone())
+}
--- a/crates/coriandercove_agent/src/runtime.rs
+++ b/crates/coriandercove_agent/src/runtime.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod handler;
+mod operations;
 mod service;
 
 use std::cell::{Cell, OnceCell, RefCell};
@@ -12,6 +13,7 @@
 use coriandercove_base::telemetry::{CounterFamily, Metrics, count};
 use coriandercove_base::timer::{Subscription, TimerService};
 use coriandercove_base::{Clock, ConfigVersion, MonotonicClock};
+use coriandercove_node::process::Stop;
 use coriandercove_peer::link::Shaper;
 use coriandercove_peer::{Address, ClusterKey, Frame, LinkConfig, Links, PeerInfo};
 use coriandercove_state::ticket::{TicketLimits, TicketTable};
@@ -22,6 +24,7 @@
 use crate::stage::{StageAction, StageLimits, Stages};
 use control::Control;
 use handler::Handler;
+pub use operations::AgentOperations;
 
 /// How often expired state is forgotten.
 const TICK: Duration = Duration::from_millis(100);
@@ -263,7 +266,24 @@
     /// Streams and calls in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
-        self.inner.stages.borrow().len() + self.inner.calls.get()
+        self.inner.in_progress()
+    }
+
+    /// What answers operators. A drain that they ask for makes `stop` end its wait.
+    #[must_use]
+    pub fn operations(&self, region: String, stop: Rc<Stop>) -> Rc<AgentOperations> {
+        Rc::new(AgentOperations {
+            inner: Rc::clone(&self.inner),
+            metrics: self.metrics.clone(),
+            region,
+            stop,
+            drain_deadline: self.drain_deadline,
+        })
+    }
+
+    /// Sets the time that work in flight gets to end when the agent leaves.
+    pub const fn set_drain_deadline(&mut self, deadline: Duration) {
+        self.drain_deadline = deadline;
     }
 
     /// Refuses new work from now on.
@@ -312,6 +332,10 @@
 }
 
 impl Inner {
+    fn in_progress(&self) -> usize {
+        self.stages.borrow().len() + self.calls.get()
+    }
+
     /// Carries out what the stages have decided.
     fn flush(&self) {
         loop {
--- a/crates/coriandercove_entry/src/runtime.rs
+++ b/crates/coriandercove_entry/src/runtime.rs
@@ -5,6 +5,7 @@
 mod control;
 mod handler;
 mod once;
+mod operations;
 mod waiter;
 
 use std::cell::{Cell, OnceCell, RefCell};
@@ -18,6 +19,7 @@
 use coriandercove_base::timer::{Subscription, TimerService};
 use coriandercove_base::{Clock, ConfigVersion, MonotonicClock, NodeId, RequestId};
 use coriandercove_config::{Config, Pipeline};
+use coriandercove_node::process::Stop;
 use coriandercove_peer::link::Shaper;
 use coriandercove_peer::{Address, ClusterKey, Frame, LinkConfig, Links, PeerInfo};
 use coriandercove_platform::{Store, VmSource};
@@ -35,6 +37,7 @@
 use handler::Handler;
 use once::OnceCalls;
 pub use once::{ClaimStore, NoStore};
+pub use operations::EntryOperations;
 pub(crate) use waiter::{Started, Waiter};
 
 /// How often waiting requests, stalls and deadlines are checked.
@@ -315,7 +318,24 @@
     /// Streams and calls in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
-        self.inner.waiters.borrow().len() + self.inner.calls.len() + self.inner.once.len()
+        self.inner.in_progress()
+    }
+
+    /// What answers operators. A drain that they ask for makes `stop` end its wait.
+    #[must_use]
+    pub fn operations(&self, region: String, stop: Rc<Stop>) -> Rc<EntryOperations> {
+        Rc::new(EntryOperations {
+            inner: Rc::clone(&self.inner),
+            metrics: self.metrics.clone(),
+            region,
+            stop,
+            drain_deadline: self.drain_deadline,
+        })
+    }
+
+    /// Sets the time that requests in flight get to end when the entry leaves.
+    pub const fn set_drain_deadline(&mut self, deadline: Duration) {
+        self.drain_deadline = deadline;
     }
 
     /// Accepts no more requests, waits until those in flight have ended, and stops.
@@ -348,6 +368,10 @@
 }
 
 impl Inner {
+    fn in_progress(&self) -> usize {
+        self.waiters.borrow().len() + self.calls.len() + self.once.len()
+    }
+
     /// The configuration in force.
     pub fn view(&self) -> Option<Rc<ConfigView>> {
         self.view.borrow().clone()
--- /dev/null
+++ b/crates/coriandercove_local/tests/processes/fleet.rs
@@ -0,0 +1,106 @@
+//! Processes on loopback, each of which ends with the test.
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+/// Secret of the deployment and token of its operators.
+const SECRET: &str = "a secret of the process test";
+
+/// A process that is killed when it is dropped.
+pub struct Process {
+    pub name: String,
+    child: Child,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It fails for a process that has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").arg(pid).status().unwrap().success());
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+/// A program of the workspace, built beside this test.
+pub fn program(name: &str) -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    let path = test.parent().and_then(Path::parent).unwrap().join(name);
+    assert!(
+        path.exists(),
+        "{} is missing; run `cargo build --workspace --bins` first",
+        path.display()
+    );
+    path
+}
+
+/// A port of the loopback interface that is free for TCP and UDP.
+pub fn free_address() -> SocketAddr {
+    loop {
+        let tcp = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = tcp.local_addr().unwrap();
+        if UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// Starts a stand-in; returns its URL.
+pub fn standin(args: &[&str]) -> (Process, String) {
+    let mut child = Command::new(program("coriandercove-standin"))
+        .args(args)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    let out = child.stdout.take().unwrap();
+    let name = args[0].to_owned();
+    let process = Process { name, child };
+    BufReader::new(out).read_line(&mut line).unwrap();
+    assert!(!line.is_empty(), "{args:?}: the stand-in did not start");
+    (process, format!("http://{}", line.trim()))
+}
+
+/// Starts an entry or agent with YAML settings in `dir`.
+pub fn start(dir: &Path, program_name: &str, name: &str, settings: &str) -> Process {
+    let path = dir.join(format!("{name}.yaml"));
+    std::fs::write(&path, settings).unwrap();
+    let check = command(program_name, &path).arg("--check").output();
+    let check = check.unwrap();
+    assert!(
+        check.status.success(),
+        "{name}: {}",
+        String::from_utf8_lossy(&check.stderr)
+    );
+    let child = command(program_name, &path)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let name = name.to_owned();
+    Process { name, child }
+}
+
+fn command(program_name: &str, settings: &Path) -> Command {
+    let mut command = Command::new(program(program_name));
+    command
+        .arg("--settings")
+        .arg(settings)
+        .env("CORIANDERCOVE_CLUSTER_KEY", SECRET)
+        .env("CORIANDERCOVE_OPERATOR_TOKEN", SECRET);
+    command
+}
--- a/crates/coriandercove_node/src/config.rs
+++ b/crates/coriandercove_node/src/config.rs
@@ -16,7 +16,7 @@
 use coriandercove_platform::Store;
 use coriandercove_state::config_log::{
     AcceptError, ConfigAction, ConfigEvent, ConfigLog, ConfigLogSettings, Edit, Objects, OpId,
-    PullConfig, PullReply,
+    PullConfig, PullReply, StoreAnswer,
 };
 use slog::Logger;
 use tokio::sync::oneshot;
@@ -39,6 +39,7 @@
     peers: RefCell<SortedMap<NodeId, Address>>,
     accepts: RefCell<HashMap<OpId, oneshot::Sender<Accepted>>>,
     next_accept: Cell<OpId>,
+    store_reachable: Cell<bool>,
     on_config: OnConfig,
     clock: MonotonicClock,
     dropped: CounterFamily,
@@ -66,6 +67,7 @@
             peers: RefCell::default(),
             accepts: RefCell::default(),
             next_accept: Cell::new(1),
+            store_reachable: Cell::new(false),
             on_config: Box::new(on_config),
             clock: MonotonicClock::default(),
             dropped: metrics.counters(
@@ -96,6 +98,12 @@
         self.machine.borrow().version()
     }
 
+    /// Whether the store answered the latest call of the log.
+    #[must_use]
+    pub const fn store_reachable(&self) -> bool {
+        self.store_reachable.get()
+    }
+
     /// Digest of the objects in force.
     #[must_use]
     pub fn digest(&self) -> u128 {
@@ -210,6 +218,8 @@
                     let Some(store) = store else { return };
                     let answer = store::call(store, call).await;
                     if let Some(runner) = runner.upgrade() {
+                        let failed = matches!(answer, StoreAnswer::Lost | StoreAnswer::Unavailable);
+                        runner.store_reachable.set(!failed);
                         runner.event(ConfigEvent::Store { id, answer });
                     }
                 });
--- a/crates/coriandercove_node/src/lib.rs
+++ b/crates/coriandercove_node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod datagrams;
 pub mod members;
+pub mod process;
 pub mod store;
 
 pub use config::ConfigRunner;
