--- a/crates/coriandercove_local/tests/processes/main.rs
+++ b/crates/coriandercove_local/tests/processes/main.rs
@@ -232,7 +232,7 @@
     started();
     let body = answer.body().limit(16 << 20).await.unwrap();
     let text = std::str::from_utf8(&body).unwrap();
-    let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
+    let mut events = text.lines().filter_map(|line| line.strip_prefix("data: "));
     let mut tokens = Vec::new();
     for event in events.clone().filter(|event| *event != "[DONE]") {
         let event: Value = serde_json::from_str(event).unwrap();
@@ -240,7 +240,7 @@
         let ids = ids.unwrap_or_default();
         tokens.extend(ids.iter().filter_map(Value::as_u64).map(|t| t as u32));
     }
-    (tokens, events.last() == Some("[DONE]"))
+    (tokens, events.next_back() == Some("[DONE]"))
 }
 
 /// Guards against programs that do not work together as separate processes: a stream, a booking that
