--- a/crates/coriandercove_local/src/entry.rs
+++ b/crates/coriandercove_local/src/entry.rs
@@ -32,7 +32,7 @@
 }
 
 impl EntryRole {
-    /// Starts an entry that serves callers at `callers` uses the store at the URL `store`
+    /// Starts an entry that serves callers at `callers`, uses the store at the URL `store`
     /// and learns the other entries from `seeds`.
     ///
     /// # Errors
