--- /dev/null
+++ b/crates/coriandercove_entry/examples/streams.rs
@@ -0,0 +1,170 @@
+//! Cost of the entry's core for growing numbers of open streams, accounts and targets. Prints one
+//! JSON line for each figure.
+
+#[path = "../../coriandercove_state/examples/measure/mod.rs"]
+mod measure;
+
+use coriandercove_base::{Time, rng};
+use coriandercove_config::Config;
+use coriandercove_config::answers::parse;
+use coriandercove_entry::core::{Core, CoreConfig, StreamSpec};
+use coriandercove_peer::TokenFrame;
+use coriandercove_peer::frame::loopback;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+const SEED: u64 = 1;
+const MODELS: usize = 8;
+const ZONES: usize = 11;
+/// Tokens of each prompt.
+const PROMPT: u32 = 300;
+const OPEN: [u32; 4] = [500, 1_000, 2_000, 4_000];
+/// Accounts, and replicas in each of the 88 groups; the last pair is the planned size.
+const SIZES: [(usize, usize); 4] = [(4_750, 9), (9_500, 19), (14_250, 28), (19_000, 37)];
+const NOW: Time = Duration::from_secs(1);
+
+fn config(accounts: usize, replicas: usize) -> Config {
+    let mut out = String::from(
+        "trade: {name: scale}\nplatform: {store: [\"http://10.0.0.1:7300\"]}\nsites:\n",
+    );
+    for z in 0..ZONES {
+        let _ = writeln!(out, "- {{name: s{z}, region: r{}, zones: [z{z}]}}", z % 5);
+    }
+    out.push_str("entries:\n- {node: e, zone: z0, callers: \"10.0.0.2:80\", peer: \"10.0.0.2:81\", operations: \"10.0.0.2:82\"}\naccounts:\n");
+    for a in 0..accounts {
+        let _ = writeln!(out, "- {{name: a{a}, quota_tokens_per_second: 1000000000}}");
+    }
+    out.push_str("models:\n");
+    for m in 0..MODELS {
+        let _ = writeln!(
+            out,
+            "- {{model: m{m}, version: v1, layers: 80, hidden_size: 8192, max_tokens: 8192, compute: [{{accelerator: l4, decode_us: 300, prefill_ns: 9000}}]}}"
+        );
+    }
+    out.push_str("targets:\n");
+    for (z, m) in (0..ZONES).flat_map(|z| (0..MODELS).map(move |m| (z, m))) {
+        let replicas = replicas + (z * MODELS + m) % 2;
+        let _ = writeln!(
+            out,
+            "- {{name: g{z}-{m}, zone: z{z}, replicas: {replicas}, peer: \"10.{}.{m}.1:7400\", checks_orders: true, accelerator: l4, model: m{m}}}",
+            z + 1
+        );
+    }
+    parse("scale.yaml", &out)
+        .unwrap_or_else(|p| panic!("{p}"))
+        .config
+}
+
+fn core() -> Core {
+    let cfg = CoreConfig {
+        own: loopback("entry-001", 7400),
+        zone: "z0".into(),
+        credit_tokens: 256,
+    };
+    Core::new(cfg, rng::seeded(SEED))
+}
+
+fn spec(i: u32) -> StreamSpec {
+    StreamSpec {
+        req: u128::from(i) + 1,
+        account: format!("a{}", i % 4_000).into(),
+        model: format!("m{}", i as usize % MODELS).into(),
+        prompt: vec![7; PROMPT as usize],
+        max_tokens: 4_000,
+        priority: 0,
+        deadline: Duration::from_secs(3600),
+        first_token_deadline: Duration::from_secs(3600),
+    }
+}
+
+/// Figures that depend on the open streams.
+#[derive(Default)]
+struct ByStreams {
+    submit_us: Vec<(f64, f64)>,
+    token_us: Vec<(f64, f64)>,
+    tick_us: Vec<(f64, f64)>,
+    memory: Vec<(f64, f64)>,
+}
+
+impl ByStreams {
+    fn measure(&mut self, config: &Config, open: u32) {
+        let mut core = core();
+        core.set_config(NOW, config);
+        let n = f64::from(open);
+        let specs: Vec<_> = (0..open).map(spec).collect();
+        let before = measure::allocated();
+        let (us, ()) = measure::micros_of(|| {
+            for spec in specs {
+                core.submit(NOW, spec);
+                core.take_actions();
+            }
+        });
+        assert_eq!(core.len(), open as usize, "each stream was admitted");
+        assert_eq!(core.queued(), 0, "each stream was dispatched");
+        self.submit_us.push((n, us / n));
+        self.token_us.push((n, tokens(&mut core, open)));
+        self.memory.push((n, measure::allocated() - before));
+        let tick = measure::micros_per_call(|| core.tick(NOW));
+        self.tick_us.push((n, tick));
+    }
+}
+
+/// CPU time in us of one token with the caller's progress, over 100,000 tokens.
+fn tokens(core: &mut Core, open: u32) -> f64 {
+    let each = 100_000 / open;
+    let (us, emitted) = measure::micros_of(|| {
+        let mut emitted = 0;
+        for k in 0..each {
+            for i in 0..open {
+                let req = u128::from(i) + 1;
+                let frame = TokenFrame {
+                    req,
+                    attempt: 1,
+                    position: PROMPT + k,
+                    token: 9,
+                    finished: false,
+                };
+                core.token(NOW, &frame);
+                core.consumed(req, k + 1);
+                emitted += core.take_actions().len();
+            }
+        }
+        emitted
+    });
+    assert!(
+        emitted >= (each * open) as usize,
+        "each token was passed on"
+    );
+    us / f64::from(each * open)
+}
+
+fn main() {
+    let mut streams = ByStreams::default();
+    let planned = config(SIZES[3].0, SIZES[3].1);
+    for open in OPEN {
+        streams.measure(&planned, open);
+    }
+    drop(planned);
+    let print = |what, x, y, points: &[(f64, f64)]| {
+        measure::print(what, x, y, SEED, &measure::fit(points));
+    };
+    print("stream_submit", "streams", "us", &streams.submit_us);
+    print("stream_token", "streams", "us", &streams.token_us);
+    print("stream_tick", "streams", "us", &streams.tick_us);
+    print("stream_memory", "streams", "bytes", &streams.memory);
+    let (mut set, mut again, mut memory) = (vec![], vec![], vec![]);
+    for (accounts, replicas) in SIZES {
+        let config = config(accounts, replicas);
+        let n = accounts as f64;
+        let before = measure::allocated();
+        let mut core = core();
+        let (us, ()) = measure::micros_of(|| core.set_config(NOW, &config));
+        memory.push((n, measure::allocated() - before));
+        set.push((n, us));
+        let us = measure::micros_per_call(|| core.set_config(NOW, &config));
+        again.push((n, us));
+    }
+    print("core_first_config", "accounts", "us", &set);
+    print("core_next_config", "accounts", "us", &again);
+    print("core_config_memory", "accounts", "bytes", &memory);
+}
--- /dev/null
+++ b/crates/coriandercove_state/examples/config.rs
@@ -0,0 +1,211 @@
+//! Cost of the configuration for growing numbers of accounts and targets: a change, a snapshot and
+//! the memory. Prints one JSON line for each figure. The largest size is the planned one.
+
+mod measure;
+
+use coriandercove_base::{NodeId, Time};
+use coriandercove_config::Config;
+use coriandercove_config::answers::parse;
+use coriandercove_state::config_log::{
+    Change, ConfigAction, ConfigEvent, ConfigLog, ConfigLogSettings, Edit, Objects, PullConfig,
+    PullReply,
+};
+use std::fmt::Write as _;
+use std::sync::Arc;
+
+/// Accounts, and replicas in each of the 88 groups of targets.
+const SIZES: [(usize, usize); 4] = [(4_750, 9), (9_500, 19), (14_250, 28), (19_000, 37)];
+const MODELS: usize = 8;
+const ZONES: usize = 11;
+/// Changes that are applied for a figure.
+const CHANGES: u64 = 300;
+
+fn answers(accounts: usize, replicas: usize) -> String {
+    let mut out = String::from(
+        "trade: {name: scale}\nplatform: {store: [\"http://10.0.0.1:7300\"]}\nsites:\n",
+    );
+    for z in 0..ZONES {
+        let _ = writeln!(out, "- {{name: s{z}, region: r{}, zones: [z{z}]}}", z % 5);
+    }
+    out.push_str("entries:\n- {node: e, zone: z0, callers: \"10.0.0.2:80\", peer: \"10.0.0.2:81\", operations: \"10.0.0.2:82\"}\naccounts:\n");
+    for a in 0..accounts {
+        let _ = writeln!(out, "- {{name: a{a}, quota_tokens_per_second: 100}}");
+    }
+    out.push_str("models:\n");
+    for m in 0..MODELS {
+        let _ = writeln!(
+            out,
+            "- {{model: m{m}, version: v1, layers: 80, hidden_size: 8192, max_tokens: 8192, compute: [{{accelerator: l4, decode_us: 300, prefill_ns: 9000}}]}}"
+        );
+    }
+    out.push_str("targets:\n");
+    for (z, m) in (0..ZONES).flat_map(|z| (0..MODELS).map(move |m| (z, m))) {
+        // Half of the groups have one replica more, which makes 3,300 targets at the largest size.
+        let replicas = replicas + (z * MODELS + m) % 2;
+        let _ = writeln!(
+            out,
+            "- {{name: g{z}-{m}, zone: z{z}, replicas: {replicas}, peer: \"10.{}.{m}.1:7400\", checks_orders: true, accelerator: l4, model: m{m}}}",
+            z + 1
+        );
+    }
+    out
+}
+
+fn log(node: &str) -> ConfigLog {
+    ConfigLog::new(ConfigLogSettings::new(node.into(), false, Vec::new()))
+}
+
+fn pulled(changes: Vec<Change>) -> ConfigEvent {
+    ConfigEvent::Pulled {
+        peer: NodeId::from("peer"),
+        reply: PullReply::Changes(changes),
+    }
+}
+
+/// The change that sets up all objects.
+fn first(objects: &coriandercove_config::Objects) -> Change {
+    let upserts = objects.iter();
+    let edit = Edit {
+        upserts: upserts
+            .map(|(k, v)| (k.to_owned(), Arc::from(v.to_string())))
+            .collect(),
+        removes: Vec::new(),
+    };
+    Change::new(1, 1, "operator".to_owned(), edit, &Objects::default())
+}
+
+/// Changes of one account each. Their digests need the objects after each one.
+fn changes(start: &Objects, accounts: u64) -> Vec<Change> {
+    let mut objects = start.clone();
+    let mut out = Vec::new();
+    for i in 0..CHANGES {
+        let key = format!("account/a{}", i % accounts);
+        let text = objects.get(&key).unwrap_or_default();
+        let text = text.replacen("100", &format!("{}", 200 + i), 1);
+        let mut edit = Edit::default();
+        edit.upserts.insert(key.clone(), text.as_str().into());
+        // An empty set makes the digest cheap to compute; the right one is filled in below.
+        let mut change = Change::new(
+            i + 2,
+            u128::from(i) + 2,
+            "operator".to_owned(),
+            edit,
+            &Objects::default(),
+        );
+        objects.insert(key, text.as_str().into());
+        let whole = Change::new(
+            i + 2,
+            u128::from(i) + 2,
+            "operator".to_owned(),
+            Edit::default(),
+            &objects,
+        );
+        change.digest = whole.digest;
+        out.push(change);
+    }
+    out
+}
+
+/// Figures at one size.
+#[derive(Default)]
+struct Figures {
+    objects: f64,
+    apply_us: f64,
+    serve_us: f64,
+    install_us: f64,
+    snapshot_bytes: f64,
+    log_memory: f64,
+    decode_us: f64,
+    check_us: f64,
+    config_memory: f64,
+    change_bytes: f64,
+}
+
+fn measure_config(f: &mut Figures, objects: &coriandercove_config::Objects) {
+    let before = measure::allocated();
+    let (us, config) = measure::micros_of(|| Config::from_objects(objects));
+    f.config_memory = measure::allocated() - before;
+    f.decode_us = us;
+    f.check_us = measure::micros_of(|| config.map(|c| c.check())).0;
+}
+
+fn snapshot(log: &mut ConfigLog) -> (f64, Vec<PullReply>) {
+    let pull = ConfigEvent::Pull {
+        peer: NodeId::from("peer"),
+        req: PullConfig { after: 0 },
+    };
+    let (us, actions) = measure::micros_of(|| log.on_event(Time::ZERO, pull));
+    let replies = actions.into_iter().filter_map(|a| match a {
+        ConfigAction::Reply { reply, .. } => Some(reply),
+        _ => None,
+    });
+    (us, replies.collect())
+}
+
+fn bytes(reply: &PullReply) -> f64 {
+    postcard::to_allocvec(reply).map_or(0.0, |b| b.len() as f64)
+}
+
+fn at_size(accounts: usize, replicas: usize) -> Figures {
+    let checked = parse("scale.yaml", &answers(accounts, replicas))
+        .unwrap_or_else(|p| panic!("the answers are valid: {p}"));
+    let objects = checked.config.to_objects();
+    drop(checked);
+    let mut f = Figures {
+        objects: objects.len() as f64,
+        ..Figures::default()
+    };
+    measure_config(&mut f, &objects);
+    let setup = first(&objects);
+    let before = measure::allocated();
+    let mut log = log("a");
+    log.on_event(Time::ZERO, pulled(vec![setup]));
+    f.log_memory = measure::allocated() - before;
+    let changes = changes(log.objects(), accounts as u64);
+    f.change_bytes = changes
+        .iter()
+        .map(|c| bytes(&PullReply::Changes(vec![c.clone()])))
+        .sum::<f64>()
+        / CHANGES as f64;
+    let (us, ()) = measure::micros_of(|| {
+        for change in changes {
+            log.on_event(Time::ZERO, pulled(vec![change]));
+        }
+    });
+    assert_eq!(log.version(), CHANGES + 1, "each change was applied");
+    f.apply_us = us / CHANGES as f64;
+    let (serve, replies) = snapshot(&mut log);
+    f.serve_us = serve;
+    f.snapshot_bytes = replies.iter().map(bytes).sum();
+    f.install_us = install(replies, log.version());
+    f
+}
+
+fn install(replies: Vec<PullReply>, version: u64) -> f64 {
+    let mut fresh = log("b");
+    let (us, ()) = measure::micros_of(|| {
+        for reply in replies {
+            let peer = NodeId::from("peer");
+            fresh.on_event(Time::ZERO, ConfigEvent::Pulled { peer, reply });
+        }
+    });
+    assert_eq!(fresh.version(), version, "the snapshot was installed");
+    us
+}
+
+fn main() {
+    let figures: Vec<Figures> = SIZES.iter().map(|(a, r)| at_size(*a, *r)).collect();
+    let print = |what: &str, y: &str, of: fn(&Figures) -> f64| {
+        let points: Vec<_> = figures.iter().map(|f| (f.objects, of(f))).collect();
+        measure::print(what, "objects", y, 0, &measure::fit(&points));
+    };
+    print("config_apply_change", "us", |f| f.apply_us);
+    print("config_change", "bytes", |f| f.change_bytes);
+    print("config_serve_snapshot", "us", |f| f.serve_us);
+    print("config_snapshot", "bytes", |f| f.snapshot_bytes);
+    print("config_install_snapshot", "us", |f| f.install_us);
+    print("config_log_memory", "bytes", |f| f.log_memory);
+    print("config_from_objects", "us", |f| f.decode_us);
+    print("config_check", "us", |f| f.check_us);
+    print("config_decoded_memory", "bytes", |f| f.config_memory);
+}
