--- a/crates/coriandercove_state/examples/config.rs
+++ b/crates/coriandercove_state/examples/config.rs
@@ -156,8 +156,8 @@
         ..Figures::default()
     };
     measure_config(&mut f, &objects);
-    let setup = first(&objects);
     let before = measure::allocated();
+    let setup = first(&objects);
     let mut log = log("a");
     log.on_event(Time::ZERO, pulled(vec![setup]));
     f.log_memory = measure::allocated() - before;
