--- a/crates/coriandercove_state/examples/config.rs
+++ b/crates/coriandercove_state/examples/config.rs
@@ -119,6 +119,8 @@
     check_us: f64,
     config_memory: f64,
     change_bytes: f64,
+    parse_us: f64,
+    parsed_memory: f64,
 }
 
 fn measure_config(f: &mut Figures, objects: &coriandercove_config::Objects) {
@@ -129,6 +131,22 @@
     f.check_us = measure::micros_of(|| config.map(|c| c.check())).0;
 }
 
+/// Parses the texts of all objects, as a process does before it decodes a configuration.
+fn measure_parse(f: &mut Figures, texts: &Objects) {
+    let before = measure::allocated();
+    let (us, objects) = measure::micros_of(|| {
+        let mut objects = coriandercove_config::Objects::new();
+        for (key, text) in texts.iter() {
+            let value = serde_json::from_str(text).unwrap_or_default();
+            objects.insert(key.to_owned(), value);
+        }
+        objects
+    });
+    f.parsed_memory = measure::allocated() - before;
+    assert_eq!(objects.len(), texts.len(), "each object was parsed");
+    f.parse_us = us;
+}
+
 fn snapshot(log: &mut ConfigLog) -> (f64, Vec<PullReply>) {
     let pull = ConfigEvent::Pull {
         peer: NodeId::from("peer"),
@@ -161,6 +179,7 @@
     let mut log = log("a");
     log.on_event(Time::ZERO, pulled(vec![setup]));
     f.log_memory = measure::allocated() - before;
+    measure_parse(&mut f, log.objects());
     let changes = changes(log.objects(), accounts as u64);
     f.change_bytes = changes
         .iter()
@@ -207,5 +226,7 @@
     print("config_log_memory", "bytes", |f| f.log_memory);
     print("config_from_objects", "us", |f| f.decode_us);
     print("config_check", "us", |f| f.check_us);
+    print("config_parse_texts", "us", |f| f.parse_us);
+    print("config_parsed_memory", "bytes", |f| f.parsed_memory);
     print("config_decoded_memory", "bytes", |f| f.config_memory);
 }
