--- a/crates/coriandercove_entry/examples/streams.rs
+++ b/crates/coriandercove_entry/examples/streams.rs
@@ -4,53 +4,25 @@
 #[path = "../../coriandercove_state/examples/measure/mod.rs"]
 mod measure;
 
+use measure::fleet::{MODELS, SIZES, answers};
+
 use coriandercove_base::{Time, rng};
 use coriandercove_config::Config;
 use coriandercove_config::answers::parse;
 use coriandercove_entry::core::{Core, CoreConfig, StreamSpec};
 use coriandercove_peer::TokenFrame;
 use coriandercove_peer::frame::loopback;
-use std::fmt::Write as _;
 use std::time::Duration;
 
 const SEED: u64 = 1;
-const MODELS: usize = 8;
-const ZONES: usize = 11;
 /// Tokens of each prompt.
 const PROMPT: u32 = 300;
 const OPEN: [u32; 4] = [500, 1_000, 2_000, 4_000];
-/// Accounts, and replicas in each of the 88 groups; the last pair is the planned size.
-const SIZES: [(usize, usize); 4] = [(4_750, 9), (9_500, 19), (14_250, 28), (19_000, 37)];
 const NOW: Time = Duration::from_secs(1);
 
 fn config(accounts: usize, replicas: usize) -> Config {
-    let mut out = String::from(
-        "trade: {name: scale}\nplatform: {store: [\"http://10.0.0.1:7300\"]}\nsites:\n",
-    );
-    for z in 0..ZONES {
-        let _ = writeln!(out, "- {{name: s{z}, region: r{}, zones: [z{z}]}}", z % 5);
-    }
-    out.push_str("entries:\n- {node: e, zone: z0, callers: \"10.0.0.2:80\", peer: \"10.0.0.2:81\", operations: \"10.0.0.2:82\"}\naccounts:\n");
-    for a in 0..accounts {
-        let _ = writeln!(out, "- {{name: a{a}, quota_tokens_per_second: 1000000000}}");
-    }
-    out.push_str("models:\n");
-    for m in 0..MODELS {
-        let _ = writeln!(
-            out,
-            "- {{model: m{m}, version: v1, layers: 80, hidden_size: 8192, max_tokens: 8192, compute: [{{accelerator: l4, decode_us: 300, prefill_ns: 9000}}]}}"
-        );
-    }
-    out.push_str("targets:\n");
-    for (z, m) in (0..ZONES).flat_map(|z| (0..MODELS).map(move |m| (z, m))) {
-        let replicas = replicas + (z * MODELS + m) % 2;
-        let _ = writeln!(
-            out,
-            "- {{name: g{z}-{m}, zone: z{z}, replicas: {replicas}, peer: \"10.{}.{m}.1:7400\", checks_orders: true, accelerator: l4, model: m{m}}}",
-            z + 1
-        );
-    }
-    parse("scale.yaml", &out)
+    let text = answers(accounts, replicas, 1_000_000_000);
+    parse("scale.yaml", &text)
         .unwrap_or_else(|p| panic!("{p}"))
         .config
 }
--- a/crates/coriandercove_state/examples/config.rs
+++ b/crates/coriandercove_state/examples/config.rs
@@ -3,6 +3,8 @@
 
 mod measure;
 
+use measure::fleet::{SIZES, answers};
+
 use coriandercove_base::{NodeId, Time};
 use coriandercove_config::Config;
 use coriandercove_config::answers::parse;
@@ -10,47 +12,11 @@
     Change, ConfigAction, ConfigEvent, ConfigLog, ConfigLogSettings, Edit, Objects, PullConfig,
     PullReply,
 };
-use std::fmt::Write as _;
 use std::sync::Arc;
 
-/// Accounts, and replicas in each of the 88 groups of targets.
-const SIZES: [(usize, usize); 4] = [(4_750, 9), (9_500, 19), (14_250, 28), (19_000, 37)];
-const MODELS: usize = 8;
-const ZONES: usize = 11;
 /// Changes that are applied for a figure.
 const CHANGES: u64 = 300;
 
-fn answers(accounts: usize, replicas: usize) -> String {
-    let mut out = String::from(
-        "trade: {name: scale}\nplatform: {store: [\"http://10.0.0.1:7300\"]}\nsites:\n",
-    );
-    for z in 0..ZONES {
-        let _ = writeln!(out, "- {{name: s{z}, region: r{}, zones: [z{z}]}}", z % 5);
-    }
-    out.push_str("entries:\n- {node: e, zone: z0, callers: \"10.0.0.2:80\", peer: \"10.0.0.2:81\", operations: \"10.0.0.2:82\"}\naccounts:\n");
-    for a in 0..accounts {
-        let _ = writeln!(out, "- {{name: a{a}, quota_tokens_per_second: 100}}");
-    }
-    out.push_str("models:\n");
-    for m in 0..MODELS {
-        let _ = writeln!(
-            out,
-            "- {{model: m{m}, version: v1, layers: 80, hidden_size: 8192, max_tokens: 8192, compute: [{{accelerator: l4, decode_us: 300, prefill_ns: 9000}}]}}"
-        );
-    }
-    out.push_str("targets:\n");
-    for (z, m) in (0..ZONES).flat_map(|z| (0..MODELS).map(move |m| (z, m))) {
-        // Half of the groups have one replica more, which makes 3,300 targets at the largest size.
-        let replicas = replicas + (z * MODELS + m) % 2;
-        let _ = writeln!(
-            out,
-            "- {{name: g{z}-{m}, zone: z{z}, replicas: {replicas}, peer: \"10.{}.{m}.1:7400\", checks_orders: true, accelerator: l4, model: m{m}}}",
-            z + 1
-        );
-    }
-    out
-}
-
 fn log(node: &str) -> ConfigLog {
     ConfigLog::new(ConfigLogSettings::new(node.into(), false, Vec::new()))
 }
@@ -165,7 +131,7 @@
 }
 
 fn at_size(accounts: usize, replicas: usize) -> Figures {
-    let checked = parse("scale.yaml", &answers(accounts, replicas))
+    let checked = parse("scale.yaml", &answers(accounts, replicas, 100))
         .unwrap_or_else(|p| panic!("the answers are valid: {p}"));
     let objects = checked.config.to_objects();
     drop(checked);
--- a/crates/coriandercove_state/examples/measure/mod.rs
+++ b/crates/coriandercove_state/examples/measure/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each example uses a part of this module")]
 
+pub mod fleet;
+
 use std::fs;
 use std::time::Duration;
 
