--- a/crates/coriandercove_state/examples/config.rs
+++ b/crates/coriandercove_state/examples/config.rs
@@ -3,6 +3,8 @@
 
 mod measure;
 
+use measure::fleet::{SIZES, answers};
+
 use coriandercove_base::{NodeId, Time};
 use coriandercove_config::Config;
 use coriandercove_config::answers::parse;
@@ -10,47 +12,11 @@
     Change, ConfigAction, ConfigEvent, ConfigLog, ConfigLogSettings, Edit, Objects, PullConfig,
     PullReply,
 };
-use std::fmt::Write as _;
 use std::sync::Arc;
 
-/// Accounts, and replicas in each of the 88 groups of targets.
-const SIZES: [(usize, usize); 4] = [(4_750, 9), (9_500, 19), (14_250, 28), (19_000, 37)];
-const MODELS: usize = 8;
-const ZONES: usize = 11;
 /// Changes that are applied for a figure.
 const CHANGES: u64 = 300;
 
-fn answers(accounts: usize, replicas: usize) -> String {
-    let mut out = String::from(
-        "trade: {name: scale}\nplatform: {store: [\"http://10.0.0.1:7300\"]}\nsites:\n",
-    );
-    for z in 0..ZONES {
-        let _ = writeln!(out, "- {{name: s{z}, region: r{}, zones: [z{z}]}}", z % 5);
-    }
-    out.push_str("entries:\n- {node: e, zone: z0, callers: \"10.0.0.2:80\", peer: \"10.0.0.2:81\", operations: \"10.0.0.2:82\"}\naccounts:\n");
-    for a in 0..accounts {
-        let _ = writeln!(out, "- {{name: a{a}, quota_tokens_per_second: 100}}");
-    }
-    out.push_str("models:\n");
-    for m in 0..MODELS {
-        let _ = writeln!(
-            out,
-            "- {{model: m{m}, version: v1, layers: 80, hidden_size: 8192, max_tokens: 8192, compute: [{{accelerator: l4, decode_us: 300, prefill_ns: 9000}}]}}"
-        );
-    }
-    out.push_str("targets:\n");
-    for (z, m) in (0..ZONES).flat_map(|z| (0..MODELS).map(move |m| (z, m))) {
-        // Half of the groups have one replica more, which makes 3,300 targets at the largest size.
-        let replicas = replicas + (z * MODELS + m) % 2;
-        let _ = writeln!(
-            out,
-            "- {{name: g{z}-{m}, zone: z{z}, replicas: {replicas}, peer: \"10.{}.{m}.1:7400\", checks_orders: true, accelerator: l4, model: m{m}}}",
-            z + 1
-        );
-    }
-    out
-}
-
 fn log(node: &str) -> ConfigLog {
     ConfigLog::new(ConfigLogSettings::new(node.into(), false, Vec::new()))
 }
@@ -119,6 +85,8 @@
     check_us: f64,
     config_memory: f64,
     change_bytes: f64,
+    parse_us: f64,
+    parsed_memory: f64,
 }
 
 fn measure_config(f: &mut Figures, objects: &coriandercove_config::Objects) {
@@ -129,6 +97,22 @@
     f.check_us = measure::micros_of(|| config.map(|c| c.check())).0;
 }
 
+/// Parses the texts of all objects, as a process does before it decodes a configuration.
+fn measure_parse(f: &mut Figures, texts: &Objects) {
+    let before = measure::allocated();
+    let (us, objects) = measure::micros_of(|| {
+        let mut objects = coriandercove_config::Objects::new();
+        for (key, text) in texts.iter() {
+            let value = serde_json::from_str(text).unwrap_or_default();
+            objects.insert(key.to_owned(), value);
+        }
+        objects
+    });
+    f.parsed_memory = measure::allocated() - before;
+    assert_eq!(objects.len(), texts.len(), "each object was parsed");
+    f.parse_us = us;
+}
+
 fn snapshot(log: &mut ConfigLog) -> (f64, Vec<PullReply>) {
     let pull = ConfigEvent::Pull {
         peer: NodeId::from("peer"),
@@ -147,7 +131,7 @@
 }
 
 fn at_size(accounts: usize, replicas: usize) -> Figures {
-    let checked = parse("scale.yaml", &answers(accounts, replicas))
+    let checked = parse("scale.yaml", &answers(accounts, replicas, 100))
         .unwrap_or_else(|p| panic!("the answers are valid: {p}"));
     let objects = checked.config.to_objects();
     drop(checked);
@@ -161,6 +145,7 @@
     let mut log = log("a");
     log.on_event(Time::ZERO, pulled(vec![setup]));
     f.log_memory = measure::allocated() - before;
+    measure_parse(&mut f, log.objects());
     let changes = changes(log.objects(), accounts as u64);
     f.change_bytes = changes
         .iter()
@@ -207,5 +192,7 @@
     print("config_log_memory", "bytes", |f| f.log_memory);
     print("config_from_objects", "us", |f| f.decode_us);
     print("config_check", "us", |f| f.check_us);
+    print("config_parse_texts", "us", |f| f.parse_us);
+    print("config_parsed_memory", "bytes", |f| f.parsed_memory);
     print("config_decoded_memory", "bytes", |f| f.config_memory);
 }
