--- a/crates/coriandercove_entry/tests/streams/world.rs
+++ b/crates/coriandercove_entry/tests/streams/world.rs
@@ -14,14 +14,14 @@
     AGENTS, Agent, CALL_TIMEOUT, ENTRIES, Entry, NODES, Op, RETAINED, address, config, name,
     node_of,
 };
-use crate::runner::{below, count_whole, rng, violation};
+use crate::runner::{below, rng, violation};
 use crate::steps::Step;
 
 /// Longest time of a request.
-const DEADLINE: Duration = Duration::from_secs(300);
+pub const DEADLINE: Duration = Duration::from_secs(300);
 const SHORT_DEADLINE: Duration = Duration::from_secs(2);
-/// Time within which all streams end once no failure is left.
-const SETTLE: Duration = Duration::from_secs(40);
+
+mod settle;
 
 pub struct World {
     now: Time,
@@ -553,49 +553,4 @@
             violation("P5: an agent that leaves opens a new stage");
         }
     }
-
-    /// Ends all failures. Every stream then ends and every stage is freed.
-    pub fn settle(&mut self) {
-        self.rng = rng(11);
-        self.net.heal();
-        for e in 0..ENTRIES {
-            self.entries[e].frozen = None;
-        }
-        for a in 0..AGENTS {
-            (self.agents[a].engine.frozen, self.agents[a].engine.failing) = (false, 0);
-            let agent = &mut self.agents[a];
-            if agent.alive && agent.leaving.is_none() {
-                (agent.frozen, agent.silent) = (false, None);
-            } else {
-                self.restart(a, true);
-            }
-        }
-        for caller in self.callers.by_req.values_mut() {
-            caller.slow = false;
-        }
-        let end = self.now + SETTLE;
-        while !self.callers.open().is_empty() {
-            if self.now > end {
-                violation("a stream does not end after all failures have ended");
-            }
-            if self.run_events(20_000) {
-                violation("events without end");
-            }
-            self.advance(Duration::from_millis(20));
-        }
-        count_whole(self.callers.whole);
-        self.check_freed();
-    }
-
-    fn check_freed(&mut self) {
-        let end = self.now + DEADLINE + Duration::from_secs(20);
-        while self.now < end {
-            self.run_events(20_000);
-            if self.agents.iter().all(|a| a.stages.is_empty()) {
-                return;
-            }
-            self.advance(Duration::from_secs(1));
-        }
-        violation("a stage is never freed");
-    }
 }
