--- a/crates/coriandercove_entry/src/core/router.rs
+++ b/crates/coriandercove_entry/src/core/router.rs
@@ -290,7 +290,7 @@
 
     /// Whether a target gets new work.
     #[must_use]
-    pub fn is_usable(&self, target: &TargetId) -> bool {
+    pub fn is_ready(&self, target: &TargetId) -> bool {
         self.state(target) == TargetState::Ready
     }
 
