--- a/crates/coriandercove_entry/src/core/router.rs
+++ b/crates/coriandercove_entry/src/core/router.rs
@@ -9,7 +9,8 @@
 use coriandercove_peer::Address;
 use coriandercove_policy::RefusalReason;
 use coriandercove_policy::chain::{
-    Candidate, Chain, ChainRequest, LinkCost, LoadReport, NoChain, Planner, PlannerConfig, TargetState,
+    Candidate, Chain, ChainRequest, LinkCost, LoadReport, NoChain, Planner, PlannerConfig,
+    TargetState,
 };
 
 use super::fault::{self, Fault};
@@ -68,7 +69,7 @@
     }
 
     /// Replaces models, targets and links by those of a configuration.
-    pub fn set_config(&mut self, _now: Time, config: &Config) {
+    pub fn set_config(&mut self, config: &Config) {
         let old: Vec<TargetId> = self.addresses.keys().cloned().collect();
         for target in old.iter().filter(|t| config.target(t).is_none()) {
             self.planner.remove(target);
@@ -83,6 +84,11 @@
         for target in &config.targets {
             self.add_target(config, target);
         }
+        let targets: Vec<TargetId> = self.addresses.keys().cloned().collect();
+        for target in &targets {
+            // A candidate that was replaced is ready by default.
+            self.refresh(target);
+        }
         for link in &config.links {
             let cost = LinkCost {
                 delay: link.delay,
@@ -260,17 +266,6 @@
         self.state(target) == TargetState::Down
     }
 
-    /// Whether a target gets new work.
-    #[must_use]
-    pub fn is_ready(&self, target: &TargetId) -> bool {
-        self.state(target) == TargetState::Ready
-    }
-
-    /// Takes in the load of a target, which lags.
-    pub fn report_load(&mut self, now: Time, target: &TargetId, load: LoadReport) {
-        self.planner.report_load(target, now, load);
-    }
-
     /// Takes in what membership says of a target.
     pub fn set_member(&mut self, node: &NodeId, member: Member) {
         if member == Member::Ready {
@@ -293,6 +288,17 @@
         }
     }
 
+    /// Whether a target gets new work.
+    #[must_use]
+    pub fn is_usable(&self, target: &TargetId) -> bool {
+        self.state(target) == TargetState::Ready
+    }
+
+    /// Takes a lagging load report in.
+    pub fn report_load(&mut self, target: &str, now: Time, load: LoadReport) {
+        self.planner.report_load(target, now, load);
+    }
+
     fn refresh(&mut self, target: &TargetId) {
         let state = self.state(target);
         self.planner.set_state(target, state);
--- a/crates/coriandercove_entry/src/runtime/control.rs
+++ b/crates/coriandercove_entry/src/runtime/control.rs
@@ -147,9 +147,10 @@
         let now = self.clock.now();
         let mut core = self.core.borrow_mut();
         match event {
-            MemberEvent::Up { info, .. } => core.member_joined(now, &info.node),
+            MemberEvent::Up { info, .. } => core.member_up(now, &info.node),
             MemberEvent::Leaving { node } => core.member_leaving(now, node),
-            MemberEvent::Dead { node } => core.member_down(now, node),
+            MemberEvent::Unreachable { node } => core.member_unreachable(node),
+            MemberEvent::Dead { node } => core.member_dead(now, node),
             MemberEvent::Load { node, load } => {
                 let load = LoadReport {
                     sequences: load.running.into(),
@@ -158,9 +159,7 @@
                 };
                 core.report_load(now, node, load);
             }
-            // The own connections to an unreachable member decide whether it gets work.
-            MemberEvent::Unreachable { .. }
-            | MemberEvent::Detail { .. }
+            MemberEvent::Detail { .. }
             | MemberEvent::Suspect { .. }
             | MemberEvent::Forgotten { .. } => {}
         }
@@ -210,8 +209,9 @@
                 Err(_) => count(&self.dropped, "reason", "malformed"),
             },
             Frame::Leaving => {
-                let now = self.clock.now();
-                self.core.borrow_mut().member_leaving(now, &from.node);
+                self.core
+                    .borrow_mut()
+                    .member_leaving(self.clock.now(), &from.node);
             }
             other => return Some(other),
         }
