Start a local deployment inside a runtime

Cause: waiting for an answer of a role used tokio's blocking_recv, which panics on a runtime thread; the dev command starts its deployment on one. Change: a std channel. Test: a_deployment_starts_inside_a_runtime.

--- a/crates/coriandercove_local/src/role.rs
+++ b/crates/coriandercove_local/src/role.rs
@@ -4,7 +4,7 @@
 use std::thread::JoinHandle;
 
 use snafu::{ResultExt, Snafu};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 /// A role that could not be started.
 #[derive(Debug, Snafu)]
@@ -114,13 +114,15 @@
         let _ = self.commands.send(Command::Run(Box::new(job)));
     }
 
-    /// Runs a job on the role's thread and waits for its result; `None` if the role has ended.
+    /// Runs a job on the role's thread and blocks until its result comes; `None` if the role has
+    /// ended. The caller may itself run on a runtime, so no channel of tokio is used, whose
+    /// blocking calls panic there.
     pub fn ask<R: Send + 'static>(&self, job: impl FnOnce(&T) -> R + Send + 'static) -> Option<R> {
-        let (tx, rx) = oneshot::channel();
+        let (tx, rx) = std::sync::mpsc::channel();
         self.run(move |role| {
             let _ = tx.send(job(role));
         });
-        rx.blocking_recv().ok()
+        rx.recv().ok()
     }
 
     /// Blocks the role's thread, as a paused VM would.
--- a/crates/coriandercove_local/tests/control.rs
+++ b/crates/coriandercove_local/tests/control.rs
@@ -137,3 +137,10 @@
         some(eq(deployment.entries.len()))
     );
 }
+
+/// Guards against a panic when `dev` starts a deployment on its own runtime.
+#[gtest]
+fn a_deployment_starts_inside_a_runtime() {
+    let deployment = actix_rt::System::new().block_on(async { Deployment::start(Plan::small()) });
+    expect_that!(deployment.map(|d| d.version()).unwrap(), eq(1));
+}
