Connect the command line to the log in the store

Cause: accept and history had a trait and no store client. Change: StoreLog reads the log with the code that the processes run, and creates a version by one conditional write in their format. Before: connect() always failed. Conclusion: status, drain and explain were not run against the new processes yet.

--- a/crates/coriandercove_cli/src/config_log.rs
+++ b/crates/coriandercove_cli/src/config_log.rs
@@ -1,5 +1,7 @@
 //! The log of accepted configurations as the command line uses it.
 
+mod store;
+
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -85,13 +87,15 @@
     fn create(&self, entry: LogEntry) -> LogFuture<Created>;
 }
 
-/// Connects to the log in the store at `urls`.
+/// Connects to the log in the store at `urls`, any of which serves any call.
 ///
 /// # Errors
-/// [`CliError`] if there is no store client.
+/// [`CliError`] if there is no URL.
 pub fn connect(urls: &[String]) -> Result<Rc<dyn ConfigLog>, CliError> {
-    let message = format!("this build has no store client for {}", urls.join(", "));
-    Err(CliError::Remote { message })
+    let url = urls.first().cloned().ok_or_else(|| CliError::Usage {
+        message: "no store is given".to_owned(),
+    })?;
+    Ok(Rc::new(store::StoreLog { url }))
 }
 
 /// What the next call of [`MemoryLog::create`] does, for tests.
--- a/crates/coriandercove_node/src/config.rs
+++ b/crates/coriandercove_node/src/config.rs
@@ -13,10 +13,10 @@
 use coriandercove_base::{Clock, ConfigVersion, MonotonicClock, NodeId, SortedMap};
 use coriandercove_config::Config;
 use coriandercove_peer::{Address, Frame, Links, PeerInfo};
-use coriandercove_platform::Store;
+use coriandercove_platform::{Store, StoreError, list_all};
 use coriandercove_state::config_log::{
-    AcceptError, ConfigAction, ConfigEvent, ConfigLog, ConfigLogSettings, Edit, Objects, OpId,
-    PullConfig, PullReply, StoreAnswer,
+    AcceptError, ConfigAction, ConfigEvent, ConfigLog, ConfigLogSettings, Edit, LOG_PREFIX,
+    Objects, OpId, PullConfig, PullReply, StoreAnswer,
 };
 use slog::Logger;
 use tokio::sync::oneshot;
@@ -25,6 +25,8 @@
 const TICK: Duration = Duration::from_millis(200);
 /// Addresses of peers that are remembered, to answer their pulls and to pull from them.
 const MAX_PEERS: usize = 4096;
+/// Time between two looks at a version that is being read.
+const REACH_POLL: Duration = Duration::from_millis(5);
 /// Time that a change gets to be read, written and settled by [`accept`].
 const ACCEPT_TIME: Duration = Duration::from_secs(40);
 
@@ -273,7 +275,11 @@
     }
 }
 
-fn decode(objects: &Objects) -> Result<coriandercove_config::Objects, String> {
+/// The objects with decoded values.
+///
+/// # Errors
+/// The key and the problem of the first value that is not JSON.
+pub fn decode(objects: &Objects) -> Result<coriandercove_config::Objects, String> {
     let decode = |(key, text): (&str, &std::sync::Arc<str>)| {
         let value = serde_json::from_str(text).map_err(|e| format!("{key}: {e}"))?;
         Ok((key.to_owned(), value))
@@ -304,30 +310,66 @@
     author: &str,
     edit: Edit,
 ) -> Accepted {
-    let log = coriandercove_base::telemetry::discard();
-    let metrics = Metrics::default();
-    let runner = ConfigRunner::new(author.into(), Some(store), &metrics, log, |_, _| {});
-    let ticker = Rc::clone(&runner);
-    let ticks = actix_rt::spawn(async move {
-        loop {
-            ticker.event(ConfigEvent::Tick);
-            tokio::time::sleep(TICK).await;
-        }
-    });
+    let (runner, _ticks) = reader(store, author);
     let work = async {
-        while runner.version() < expected {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
+        reach(&runner, expected).await;
         runner
             .accept(expected, write_id, author.to_owned(), edit)
             .await
     };
     let result = tokio::time::timeout(ACCEPT_TIME, work).await;
-    ticks.abort();
     result.unwrap_or(Err(AcceptError::Unsettled {
         version: expected + 1,
     }))
 }
 
+/// The latest version in the store with its objects; version 0 without objects if there is none.
+///
+/// # Errors
+/// [`StoreError`] if the store cannot be read, or does not yield the version in time.
+pub async fn latest(store: Rc<dyn Store>) -> Result<(ConfigVersion, Objects), StoreError> {
+    let listing = list_all(&*store, LOG_PREFIX).await?;
+    let version = |key: &str| key.strip_prefix(LOG_PREFIX)?.parse().ok();
+    let versions = listing.objects.iter().filter_map(|o| version(&o.key));
+    let newest: ConfigVersion = versions.max().unwrap_or(0);
+    let (runner, _ticks) = reader(store, "reader");
+    let reached = tokio::time::timeout(ACCEPT_TIME, reach(&runner, newest)).await;
+    reached.map_err(|_| StoreError::Unavailable {
+        message: format!("version {newest} cannot be read from the store"),
+    })?;
+    let machine = runner.machine.borrow();
+    Ok((machine.version(), machine.objects().clone()))
+}
+
+/// A log that reads the store and has no peers, and what lets its time pass.
+fn reader(store: Rc<dyn Store>, node: &str) -> (Rc<ConfigRunner>, Ticks) {
+    let log = coriandercove_base::telemetry::discard();
+    let metrics = Metrics::default();
+    let runner = ConfigRunner::new(node.into(), Some(store), &metrics, log, |_, _| {});
+    let ticker = Rc::clone(&runner);
+    let task = actix_rt::spawn(async move {
+        loop {
+            ticker.event(ConfigEvent::Tick);
+            tokio::time::sleep(TICK).await;
+        }
+    });
+    (runner, Ticks(task))
+}
+
+async fn reach(runner: &ConfigRunner, version: ConfigVersion) {
+    while runner.version() < version {
+        tokio::time::sleep(REACH_POLL).await;
+    }
+}
+
+/// Ends the ticks when it is dropped.
+struct Ticks(tokio::task::JoinHandle<()>);
+
+impl Drop for Ticks {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 #[cfg(test)]
 mod tests;
