--- a/crates/coriandercove_entry/src/runtime.rs
+++ b/crates/coriandercove_entry/src/runtime.rs
@@ -312,7 +312,7 @@
     /// Whether a target gets new work.
     #[must_use]
     pub fn uses_target(&self, target: &NodeId) -> bool {
-        self.inner.core.borrow_mut().router_mut().is_usable(target)
+        self.inner.core.borrow_mut().router_mut().is_ready(target)
     }
 
     /// Streams and calls in progress.
--- a/crates/coriandercove_entry/src/runtime/operations.rs
+++ b/crates/coriandercove_entry/src/runtime/operations.rs
@@ -51,7 +51,7 @@
         }
         let is_ready = {
             let mut core = self.inner.core.borrow_mut();
-            core.router_mut().is_usable(&target.into())
+            core.router_mut().is_ready(&target.into())
         };
         let step = |part: &str, outcome: String| ExplainStep {
             part: part.to_owned(),
