Build the programs before the process test

Cause: cargo test does not build the programs of other crates, so the test ran programs of an earlier version or failed in a fresh clone. Change: the first use of a program builds all of them.

--- a/crates/coriandercove_local/tests/processes/fleet.rs
+++ b/crates/coriandercove_local/tests/processes/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Once;
 
 /// Secret of the deployment and token of its operators.
 const SECRET: &str = "a secret of the process test";
@@ -35,16 +36,34 @@
     }
 }
 
-/// A program of the workspace, built beside this test.
+/// Crates of the programs.
+const PROGRAMS: [&str; 4] = [
+    "coriandercove_entry",
+    "coriandercove_agent",
+    "coriandercove_standin",
+    "coriandercove_cli",
+];
+
+/// A program of the workspace. `cargo test` does not build the programs of other crates, so the
+/// first call builds them; otherwise the test could run a program of an earlier version.
 pub fn program(name: &str) -> PathBuf {
+    static BUILD: Once = Once::new();
     let test = std::env::current_exe().unwrap();
-    let path = test.parent().and_then(Path::parent).unwrap().join(name);
-    assert!(
-        path.exists(),
-        "{} is missing; run `cargo build --workspace --bins` first",
-        path.display()
-    );
-    path
+    let folder = test.parent().and_then(Path::parent).unwrap();
+    BUILD.call_once(|| {
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--quiet", "--bins"]);
+        build.args(PROGRAMS.iter().flat_map(|name| ["--package", name]));
+        build.arg("--target-dir").arg(folder.parent().unwrap());
+        if folder.ends_with("release") {
+            build.arg("--release");
+        }
+        assert!(
+            build.status().unwrap().success(),
+            "the programs do not build"
+        );
+    });
+    folder.join(name)
 }
 
 /// A port of the loopback interface that is free for TCP and UDP.
