Plan with the batch size and KV capacity that engines report, and refuse at the first-token deadline

Cause: the planner assumed 32 sequences for each iteration, so it took a queue for four times shorter than it was; and requests waited up to 8 times the deadline of the first token. Ruled out: the queue of other entries alone; load reports were already in force. Change: agents announce what their engine reports; a request without a first token is refused at the pipeline's own deadline.

--- a/crates/coriandercove_agent/src/engine.rs
+++ b/crates/coriandercove_agent/src/engine.rs
@@ -12,7 +12,7 @@
 use coriandercove_base::telemetry::Metrics;
 use coriandercove_base::{Attempt, Position, RequestId};
 use coriandercove_target::{
-    Engine, EngineError, ForwardItem, ForwardReply, ForwardRequest, ForwardResult,
+    Engine, EngineError, EngineInfo, ForwardItem, ForwardReply, ForwardRequest, ForwardResult,
 };
 use prometheus_client::metrics::counter::Counter;
 
@@ -101,6 +101,11 @@
         });
     }
 
+    /// What the engine holds; `None` if it does not answer.
+    pub async fn info(&self) -> Option<EngineInfo> {
+        self.engine.info().await.ok()
+    }
+
     /// Jobs that wait for a call.
     #[must_use]
     pub fn queued(&self) -> usize {
--- a/crates/coriandercove_agent/src/runtime/control.rs
+++ b/crates/coriandercove_agent/src/runtime/control.rs
@@ -2,7 +2,8 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 use coriandercove_base::ConfigVersion;
 use coriandercove_base::telemetry::Metrics;
@@ -10,6 +11,7 @@
 use coriandercove_node::{ConfigRunner, Machine, Members};
 use coriandercove_peer::{Address, ClusterKey, Frame, PeerInfo, Role};
 use coriandercove_state::membership::{LoadReport, MembershipAction, MembershipEvent};
+use coriandercove_target::EngineInfo;
 use slog::Logger;
 
 use super::Inner;
@@ -17,6 +19,11 @@
 /// Entries with a link to this agent that are told when it leaves.
 const MAX_ENTRIES: usize = 1024;
 
+/// How often the engine is asked what it holds, which changes only by an order.
+const INFO_PERIOD: Duration = Duration::from_secs(10);
+/// How soon an engine that did not answer is asked again.
+const INFO_RETRY: Duration = Duration::from_millis(500);
+
 /// Membership and configuration of the agent.
 pub struct Control {
     pub config: Rc<ConfigRunner>,
@@ -65,6 +72,9 @@
         // The cell is empty, because nothing else sets it.
         let _ = inner.control.set(control);
         config.start(links, timers);
+        if inner.driver.get().is_some() {
+            actix_rt::spawn(announce_engine(Rc::downgrade(inner)));
+        }
         Ok(())
     }
 
@@ -80,7 +90,36 @@
     }
 }
 
+/// Tells membership what the engine holds, again when that changes, as long as the agent runs.
+async fn announce_engine(agent: Weak<Inner>) {
+    let mut announced = None;
+    while let Some(agent) = agent.upgrade() {
+        let Some(driver) = agent.driver.get().cloned() else {
+            return;
+        };
+        let info = driver.info().await;
+        let wait = if info.is_some() {
+            INFO_PERIOD
+        } else {
+            INFO_RETRY
+        };
+        if info.is_some() && info != announced {
+            agent.announce_detail(info.as_ref());
+            announced = info;
+        }
+        drop(agent);
+        tokio::time::sleep(wait).await;
+    }
+}
+
 impl Inner {
+    fn announce_detail(&self, info: Option<&EngineInfo>) {
+        let detail = serde_json::to_string(&info).unwrap_or_default();
+        if let Some(control) = self.control.get() {
+            control.members.event(MembershipEvent::Detail(detail));
+        }
+    }
+
     fn config_in_force(&self, version: ConfigVersion) {
         if let Some(control) = self.control.get() {
             let event = MembershipEvent::ConfigVersion(version);
--- a/crates/coriandercove_bench/src/profile.rs
+++ b/crates/coriandercove_bench/src/profile.rs
@@ -1,5 +1,7 @@
 //! The two deployments that are measured, scaled to a machine with few cores.
 
+use std::time::Duration;
+
 use clap::ValueEnum;
 use coriandercove_base::rng::Rng;
 use coriandercove_local::{EnginePlan, EngineTuning, Plan};
@@ -90,6 +92,7 @@
             service_replicas: 3,
             entries: 3,
             concurrency: self.concurrency(),
+            first_token_deadline: Duration::from_millis(700),
             seed,
             tuning: EngineTuning {
                 slowdown: Some(2),
--- a/crates/coriandercove_entry/src/core/member.rs
+++ b/crates/coriandercove_entry/src/core/member.rs
@@ -2,6 +2,7 @@
 
 use coriandercove_base::{NodeId, Time};
 use coriandercove_policy::chain::LoadReport;
+use coriandercove_target::EngineInfo;
 
 use super::Core;
 use super::router::Member;
@@ -13,6 +14,14 @@
         self.update_slots(now);
     }
 
+    /// What a target offers, as its agent describes it; ignored if it describes no engine.
+    pub fn member_detail(&mut self, now: Time, node: &NodeId, detail: &str) {
+        if let Ok(info) = serde_json::from_str::<EngineInfo>(detail) {
+            self.router.set_engine(node, &info);
+            self.update_slots(now);
+        }
+    }
+
     /// A target leaves: streams that it has go on, and it gets no new one.
     pub fn member_leaving(&mut self, now: Time, node: &NodeId) {
         self.router.set_member(node, Member::Leaving);
--- a/crates/coriandercove_entry/src/core/router.rs
+++ b/crates/coriandercove_entry/src/core/router.rs
@@ -12,6 +12,7 @@
     Candidate, Chain, ChainRequest, LinkCost, LoadReport, NoChain, Planner, PlannerConfig,
     TargetState,
 };
+use coriandercove_target::EngineInfo;
 
 use super::fault::{self, Fault};
 use super::stream::ChainNeed;
@@ -20,7 +21,7 @@
 const DEFAULT_DECODE_PER_LAYER: Duration = Duration::from_micros(500);
 const DEFAULT_PREFILL_PER_LAYER: Duration = Duration::from_micros(10);
 /// Sequences that one iteration serves together.
-const BATCH_SLOTS: u32 = 32;
+const DEFAULT_BATCH_SLOTS: u32 = 32;
 
 /// What membership says of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,6 +34,15 @@
     Down,
 }
 
+/// What an engine reports of itself, as far as the choice of chains needs it.
+#[derive(Debug, Clone, Copy)]
+struct EngineOffer {
+    /// Sequences that one iteration takes; at least 1.
+    max_batch: u32,
+    /// Tokens for which KV state fits in memory.
+    kv_capacity_tokens: u64,
+}
+
 /// Targets by what they serve.
 pub struct Router {
     zone: ZoneId,
@@ -45,6 +55,8 @@
     down: SortedMap<TargetId, Time>,
     /// Targets that membership does not call ready.
     members: SortedMap<TargetId, Member>,
+    /// What engines report of themselves.
+    engines: SortedMap<TargetId, EngineOffer>,
     /// Live entries, this one included.
     entries: usize,
     /// Turns through the replicas of a service.
@@ -63,6 +75,7 @@
             services: SortedMap::new(),
             down: SortedMap::new(),
             members: SortedMap::new(),
+            engines: SortedMap::new(),
             entries: 1,
             turn: 0,
         }
@@ -74,6 +87,7 @@
         for target in old.iter().filter(|t| config.target(t).is_none()) {
             self.planner.remove(target);
             self.addresses.remove(target);
+            self.engines.remove(target);
         }
         self.models = config
             .pipelines
@@ -112,7 +126,7 @@
             }
             TargetKind::Engine { accelerator } => {
                 if let Some(candidate) = candidate(config, target, accelerator) {
-                    self.planner.upsert(candidate);
+                    self.planner.upsert(self.with_engine(candidate));
                     // What is known of the target outlives a new configuration.
                     self.refresh(&target.id);
                 }
@@ -120,6 +134,28 @@
         }
     }
 
+    /// Takes in what an engine reports of itself. Without the right batch size, the planner
+    /// misjudges how much a queue slows a target down.
+    pub fn set_engine(&mut self, target: &TargetId, info: &EngineInfo) {
+        let offer = EngineOffer {
+            max_batch: info.max_batch.max(1),
+            kv_capacity_tokens: info.kv_capacity_tokens,
+        };
+        self.engines.insert(target.clone(), offer);
+        if let Some(candidate) = self.planner.candidate(target).cloned() {
+            self.planner.upsert(self.with_engine(candidate));
+            self.refresh(target);
+        }
+    }
+
+    fn with_engine(&self, mut candidate: Candidate) -> Candidate {
+        if let Some(offer) = self.engines.get(&candidate.target) {
+            candidate.batch_slots = offer.max_batch.min(candidate.concurrency_limit);
+            candidate.kv_capacity_tokens = offer.kv_capacity_tokens;
+        }
+        candidate
+    }
+
     /// Sets the number of live entries, this one included.
     pub const fn set_entries(&mut self, entries: usize) {
         self.entries = if entries == 0 { 1 } else { entries };
@@ -344,7 +380,7 @@
         decode_per_layer: compute.map_or(DEFAULT_DECODE_PER_LAYER, |c| {
             Duration::from_micros(c.decode_us.into())
         }),
-        batch_slots: BATCH_SLOTS.min(limit),
+        batch_slots: DEFAULT_BATCH_SLOTS.min(limit),
         concurrency_limit: limit,
         kv_capacity_tokens: u64::MAX,
         state: TargetState::Ready,
--- a/crates/coriandercove_entry/src/http/completion.rs
+++ b/crates/coriandercove_entry/src/http/completion.rs
@@ -95,7 +95,7 @@
         max_tokens: completion.max_tokens,
         priority: caller.account.priority,
         deadline: now + whole,
-        first_token_deadline: now + whole.min(entry.first_token_limit(pipeline)),
+        first_token_deadline: now + whole.min(pipeline.first_token_deadline),
     }
 }
 
--- a/crates/coriandercove_entry/src/runtime.rs
+++ b/crates/coriandercove_entry/src/runtime.rs
@@ -18,7 +18,7 @@
 use coriandercove_base::telemetry::{CounterFamily, Metrics, count};
 use coriandercove_base::timer::{Subscription, TimerService};
 use coriandercove_base::{Clock, ConfigVersion, MonotonicClock, NodeId, RequestId};
-use coriandercove_config::{Config, Pipeline};
+use coriandercove_config::Config;
 use coriandercove_node::process::Stop;
 use coriandercove_peer::link::Shaper;
 use coriandercove_peer::{Address, ClusterKey, Frame, LinkConfig, Links, PeerInfo};
@@ -44,8 +44,6 @@
 const TICK: Duration = Duration::from_millis(5);
 /// How often a drain checks whether work is left.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
-/// Longest wait for a first token, as a multiple of the deadline that the operators aim for.
-const FIRST_TOKEN_LIMIT_FACTOR: u32 = 8;
 
 /// Settings of an entry; build them with [`EntryConfig::new`] and the `with` methods.
 pub struct EntryConfig {
@@ -385,13 +383,6 @@
         rng::random_id(&mut *self.ids.borrow_mut())
     }
 
-    /// Longest time that a request waits for its first token.
-    pub const fn first_token_limit(&self, pipeline: &Pipeline) -> Duration {
-        Duration::from_nanos(
-            pipeline.first_token_deadline.as_nanos() as u64 * FIRST_TOKEN_LIMIT_FACTOR as u64,
-        )
-    }
-
     fn set_entries(self: &Rc<Self>, entries: &[Address]) {
         let names: Vec<NodeId> = entries.iter().map(|e| e.node.clone()).collect();
         let now = self.clock.now();
--- a/crates/coriandercove_entry/src/runtime/control.rs
+++ b/crates/coriandercove_entry/src/runtime/control.rs
@@ -147,7 +147,11 @@
         let now = self.clock.now();
         let mut core = self.core.borrow_mut();
         match event {
-            MemberEvent::Up { info, .. } => core.member_up(now, &info.node),
+            MemberEvent::Up { info, .. } => {
+                core.member_up(now, &info.node);
+                core.member_detail(now, &info.node, &info.detail);
+            }
+            MemberEvent::Detail { info } => core.member_detail(now, &info.node, &info.detail),
             MemberEvent::Leaving { node } => core.member_leaving(now, node),
             MemberEvent::Unreachable { node } => core.member_unreachable(node),
             MemberEvent::Dead { node } => core.member_dead(now, node),
@@ -159,9 +163,7 @@
                 };
                 core.report_load(now, node, load);
             }
-            MemberEvent::Detail { .. }
-            | MemberEvent::Suspect { .. }
-            | MemberEvent::Forgotten { .. } => {}
+            MemberEvent::Suspect { .. } | MemberEvent::Forgotten { .. } => {}
         }
         drop(core);
         if !matches!(event, MemberEvent::Load { .. }) {
--- a/crates/coriandercove_local/src/plan.rs
+++ b/crates/coriandercove_local/src/plan.rs
@@ -40,6 +40,8 @@
     pub first_port: u16,
     /// Sequences that an engine takes at once.
     pub concurrency: u32,
+    /// Time after which a request without a first token is refused.
+    pub first_token_deadline: Duration,
     /// Seed of the choices of stand-ins and entries.
     pub seed: u64,
     /// Settings of the engine stand-ins that differ from the defaults.
@@ -72,6 +74,8 @@
             entries: 2,
             first_port: 0,
             concurrency: 64,
+            // Generous, so that tests do not depend on the speed of the machine.
+            first_token_deadline: Duration::from_secs(30),
             seed: 1,
             tuning: EngineTuning::default(),
             network: None,
@@ -88,7 +92,7 @@
             hidden_size: 4096,
             bytes_per_value: 2,
             max_tokens: 32_768,
-            first_token_deadline: Duration::from_millis(700),
+            first_token_deadline: self.first_token_deadline,
             token_deadline: Duration::from_millis(60),
             request_deadline: Duration::from_secs(120),
             priority: 4,
