Exchange demand digests between entries, so that an account gets its quota at one entry

Cause: entries split each quota evenly, because nothing told them the others' demand; an account that calls through one of four entries got a quarter of its quota there.

--- a/crates/coriandercove_entry/src/core.rs
+++ b/crates/coriandercove_entry/src/core.rs
@@ -4,6 +4,7 @@
 pub mod fault;
 mod member;
 mod question;
+mod quota;
 mod recovery;
 mod router;
 mod stream;
--- a/crates/coriandercove_entry/src/runtime.rs
+++ b/crates/coriandercove_entry/src/runtime.rs
@@ -6,6 +6,7 @@
 mod handler;
 mod once;
 mod operations;
+mod quota;
 mod waiter;
 
 use std::cell::{Cell, OnceCell, RefCell};
@@ -187,6 +188,7 @@
     timers: TimerService,
     drain_deadline: Duration,
     _tick: Subscription,
+    _demand: Subscription,
 }
 
 impl Entry {
@@ -254,6 +256,12 @@
                 inner.once_tick(inner.clock.now());
             }
         });
+        let weak = Rc::downgrade(&inner);
+        let demand = timers.subscribe(quota::PERIOD, move || {
+            if let Some(inner) = weak.upgrade() {
+                inner.send_demand();
+            }
+        });
         let drain_deadline = cfg.drain_deadline;
         Ok(Self {
             inner,
@@ -262,6 +270,7 @@
             timers,
             drain_deadline,
             _tick: tick,
+            _demand: demand,
         })
     }
 
--- a/crates/coriandercove_entry/src/runtime/control.rs
+++ b/crates/coriandercove_entry/src/runtime/control.rs
@@ -35,7 +35,7 @@
 pub struct Control {
     pub config: Rc<ConfigRunner>,
     pub members: Rc<Members>,
-    entries: RefCell<Vec<Address>>,
+    pub entries: RefCell<Vec<Address>>,
     vm_list: RefCell<Option<Subscription>>,
 }
 
@@ -215,6 +215,7 @@
                     .borrow_mut()
                     .member_leaving(self.clock.now(), &from.node);
             }
+            Frame::Demand(bytes) => self.take_demand(&from.node, &bytes),
             other => return Some(other),
         }
         None
--- a/crates/coriandercove_peer/src/frame.rs
+++ b/crates/coriandercove_peer/src/frame.rs
@@ -111,6 +111,8 @@
         },
         /// How far a stage has come.
         Progress(StageProgress),
+        /// Demand of client accounts at an entry, for the split of quotas, encoded by its owner.
+        Demand(Bytes),
         /// Asks an entry for its whole member table.
         PullMembers,
         /// Answer to [`Frame::PullMembers`], encoded by membership.
