--- a/crates/coriandercove_base/src/lib.rs
+++ b/crates/coriandercove_base/src/lib.rs
@@ -1,6 +1,7 @@
 //! Identifiers, time, derives, telemetry and seeded randomness shared by every part of coriandercove.
 
 mod data;
+mod fault;
 pub mod hash;
 #[cfg(feature = "http")]
 pub mod http;
--- a/crates/coriandercove_entry/src/core/fault.rs
+++ b/crates/coriandercove_entry/src/core/fault.rs
@@ -18,33 +18,4 @@
     GiveUpDrained,
 }
 
-#[cfg(feature = "faults")]
-mod switch {
-    use super::Fault;
-    use std::cell::Cell;
-
-    thread_local! {
-        static CURRENT: Cell<Option<Fault>> = const { Cell::new(None) };
-    }
-
-    /// Switches `fault` on in this thread, or all faults off.
-    pub fn set(fault: Option<Fault>) {
-        CURRENT.set(fault);
-    }
-
-    /// Whether `fault` is on in this thread.
-    #[must_use]
-    pub fn is_on(fault: Fault) -> bool {
-        CURRENT.get() == Some(fault)
-    }
-}
-
-#[cfg(feature = "faults")]
-pub use switch::{is_on, set};
-
-/// Whether `fault` is on; always false without the feature `faults`.
-#[cfg(not(feature = "faults"))]
-#[must_use]
-pub const fn is_on(_fault: Fault) -> bool {
-    false
-}
+coriandercove_base::fault_switch!(Fault);
