--- a/crates/coriandercove_cli/src/commands/status.rs
+++ b/crates/coriandercove_cli/src/commands/status.rs
@@ -125,6 +125,15 @@
         s.config_version.to_string(),
         s.config_digest.chars().take(12).collect(),
         s.in_flight.to_string(),
-        if s.store_reachable { "ok" } else { "down" }.to_owned(),
+        store_state(s).to_owned(),
     ]
 }
+
+/// Agents learn configurations from entries and do not call the store.
+const fn store_state(s: &NodeStatus) -> &'static str {
+    match (s.role.as_bytes(), s.store_reachable) {
+        (b"agent", false) => "-",
+        (_, true) => "ok",
+        (_, false) => "down",
+    }
+}
--- a/crates/coriandercove_config/src/settings/agent.rs
+++ b/crates/coriandercove_config/src/settings/agent.rs
@@ -108,7 +108,7 @@
         Self {
             streams: 4096,
             retained_bytes: 64 * 1024 * 1024,
-            forward_calls: 3,
+            forward_calls: 64,
             batch_items: 256,
             tickets: 65_536,
             entry_grace: Duration::from_secs(5),
--- a/crates/coriandercove_config/src/settings/check.rs
+++ b/crates/coriandercove_config/src/settings/check.rs
@@ -198,7 +198,7 @@
         let l = &self.limits;
         f.range("limits.streams", l.streams.into(), 1, 1_000_000);
         f.range("limits.retained_bytes", l.retained_bytes, 0, 16 << 30);
-        f.range("limits.forward_calls", l.forward_calls.into(), 1, 64);
+        f.range("limits.forward_calls", l.forward_calls.into(), 1, 1024);
         f.range("limits.batch_items", l.batch_items.into(), 1, 65_536);
         f.range("limits.tickets", l.tickets.into(), 1, 10_000_000);
         let max = Duration::from_secs(600);
