--- a/crates/coriandercove_peer/src/frame.rs
+++ b/crates/coriandercove_peer/src/frame.rs
@@ -326,7 +326,6 @@
     }
 }
 
-/// Where a frame of a stream listens; kept here to document the invariant of [`OpenStage::chain`].
 impl OpenStage {
     /// Whether the chain covers layers `0..total` without gap or overlap and `stage` lies in it.
     #[must_use]
