--- a/crates/coriandercove_base/src/telemetry.rs
+++ b/crates/coriandercove_base/src/telemetry.rs
@@ -41,6 +41,23 @@
     }
 }
 
+/// A logger that writes one JSON object a line to standard output from a thread of its own.
+///
+/// A reader that stops reading blocks only that thread; lines beyond the queue are dropped and
+/// their number is logged.
+pub fn lines() -> Logger {
+    background(slog_json::Json::default(std::io::stdout()).fuse())
+}
+
+/// Writes an error to standard error; returns the exit code of a failed start.
+#[must_use]
+pub fn fail(problem: &impl std::fmt::Display) -> std::process::ExitCode {
+    use std::io::Write as _;
+    // Nothing is left to do if standard error is closed.
+    let _ = writeln!(std::io::stderr(), "{problem}");
+    std::process::ExitCode::FAILURE
+}
+
 fn background<D>(drain: D) -> Logger
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
--- /dev/null
+++ b/crates/coriandercove_router/src/events.rs
@@ -0,0 +1,115 @@
+//! Counters and histograms of a router.
+
+use std::time::Duration;
+
+use coriandercove_base::telemetry::{CounterFamily, Metrics, count};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+
+/// What a router counts.
+#[derive(Clone)]
+pub struct RouterMetrics {
+    /// All metrics of the process.
+    pub registry: Metrics,
+    /// Requests of callers.
+    pub requests: Counter,
+    /// Answers by status.
+    answers: CounterFamily,
+    /// Refusals by reason.
+    refusals: CounterFamily,
+    /// Repeated attempts by reason.
+    repeats: CounterFamily,
+    /// Streams continued at other targets, by cause.
+    continuations: CounterFamily,
+    /// Targets excluded, by cause.
+    exclusions: CounterFamily,
+    /// Failed calls to the platform by topic.
+    platform_errors: CounterFamily,
+    /// Objects that could not be read, by topic.
+    unreadable: CounterFamily,
+    /// Orders by outcome.
+    orders: CounterFamily,
+    /// Version of the configuration in force.
+    pub version: Gauge,
+    /// Targets listed.
+    pub targets: Gauge,
+    /// Requests in flight.
+    pub in_flight: Gauge,
+    /// Entries heard of.
+    pub peers: Gauge,
+    first_event: Histogram,
+    whole_answer: Histogram,
+}
+
+impl Default for RouterMetrics {
+    fn default() -> Self {
+        let m = Metrics::default();
+        Self {
+            requests: m.counter("requests", "Requests of callers"),
+            answers: m.counters("answers", "Answers by status"),
+            refusals: m.counters("refusals", "Requests refused by reason"),
+            repeats: m.counters("repeats", "Attempts repeated by reason"),
+            continuations: m.counters("continuations", "Streams continued elsewhere by cause"),
+            exclusions: m.counters("exclusions", "Targets excluded by cause"),
+            platform_errors: m.counters("platform_errors", "Failed calls to the platform by topic"),
+            unreadable: m.counters("unreadable_objects", "Objects that cannot be read by topic"),
+            orders: m.counters("orders", "Orders to engines by outcome"),
+            version: m.gauge("configuration_version", "Version in force"),
+            targets: m.gauge("targets", "Targets listed"),
+            in_flight: m.gauge("requests_in_flight", "Requests in flight"),
+            peers: m.gauge("peers", "Other entries heard of"),
+            first_event: m.seconds("first_event_seconds", "Time to the first event of a stream"),
+            whole_answer: m.seconds("answer_seconds", "Time to the end of an answer"),
+            registry: m,
+        }
+    }
+}
+
+impl RouterMetrics {
+    /// Counts an answer.
+    pub fn answer(&self, status: u16, took: Duration) {
+        count(&self.answers, "status", &status.to_string());
+        self.whole_answer.observe(took.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub fn refusal(&self, reason: &str) {
+        count(&self.refusals, "reason", reason);
+    }
+
+    /// Counts a repeated attempt.
+    pub fn repeat(&self, reason: &str) {
+        count(&self.repeats, "reason", reason);
+    }
+
+    /// Counts a stream that goes on elsewhere.
+    pub fn continuation(&self, cause: &str) {
+        count(&self.continuations, "cause", cause);
+    }
+
+    /// Counts a target that gets no work for a while.
+    pub fn exclusion(&self, cause: &str) {
+        count(&self.exclusions, "cause", cause);
+    }
+
+    /// Counts a failed call to the platform.
+    pub fn platform_error(&self, topic: &str) {
+        count(&self.platform_errors, "topic", topic);
+    }
+
+    /// Counts an object that cannot be read.
+    pub fn unreadable(&self, topic: &str) {
+        count(&self.unreadable, "topic", topic);
+    }
+
+    /// Counts an order.
+    pub fn order(&self, outcome: &str) {
+        count(&self.orders, "outcome", outcome);
+    }
+
+    /// Takes the time to a first event in.
+    pub fn first_event(&self, took: Duration) {
+        self.first_event.observe(took.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_router/src/front.rs
@@ -0,0 +1,188 @@
+//! Accepts connections of callers, of the load balancer and of metrics readers.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::{info, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::proxy;
+use crate::relay::Body;
+use crate::state::Router;
+
+/// Bytes that hyper buffers of one connection; at least the largest head.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// Time that an idle connection of a caller is kept until the configuration says otherwise.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+/// Pause after a failed accept, so that exhausted descriptors do not cause a busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Descriptors of a request: the caller's connection and the target's.
+const DESCRIPTORS_PER_CALLER: usize = 2;
+/// Descriptors kept for the store, peers, listeners and files.
+const RESERVED_DESCRIPTORS: usize = 300;
+
+/// Serves callers until told to stop.
+pub struct Front {
+    router: Rc<Router>,
+    open: Rc<Cell<usize>>,
+    /// Turns true when connections should close after their current request.
+    closing: watch::Sender<bool>,
+}
+
+impl Front {
+    /// A front without a listener.
+    #[must_use]
+    pub fn new(router: Rc<Router>) -> Rc<Self> {
+        let (closing, _) = watch::channel(false);
+        Rc::new(Self {
+            router,
+            open: Rc::default(),
+            closing,
+        })
+    }
+
+    /// Open connections of callers.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Lets every connection close after its current request.
+    pub fn close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Accepts connections of callers.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let most = self
+            .router
+            .settings
+            .max_descriptors
+            .saturating_sub(RESERVED_DESCRIPTORS)
+            / DESCRIPTORS_PER_CALLER;
+        let mut closing = self.closing.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = closing.wait_for(|c| *c) => return,
+            };
+            match accepted {
+                Ok((stream, _)) if self.open.get() < most => {
+                    actix_rt::spawn(Rc::clone(&self).connection(stream));
+                }
+                Ok(_) => {
+                    self.router.metrics.refusal("connections");
+                }
+                Err(e) => {
+                    warn!(self.router.log, "accept failed"; "cause" => %e);
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn connection(self: Rc<Self>, stream: TcpStream) {
+        let _open = OpenConnection::new(&self.open);
+        if let Err(e) = stream.set_nodelay(true) {
+            warn!(self.router.log, "connection not usable"; "cause" => %e);
+            return;
+        }
+        let idle = self
+            .router
+            .configuration()
+            .map_or(DEFAULT_IDLE, |c| c.limits.idle_timeout);
+        let router = Rc::clone(&self.router);
+        let service = service_fn(move |req| {
+            let router = Rc::clone(&router);
+            async move { Ok::<_, Infallible>(proxy::serve(router, req).await) }
+        });
+        // hyper's timeout for heads runs while a connection is idle, so it is the idle limit.
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(idle)
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let mut closing = self.closing.subscribe();
+        tokio::select! {
+            // Errors are the caller's: it left or sent no request.
+            _ = connection.as_mut() => return,
+            _ = closing.wait_for(|c| *c) => {}
+        }
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
+
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl OpenConnection {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Serves the readiness check and, on the same address, the metrics.
+pub async fn serve_status(router: Rc<Router>, address: SocketAddr, listener: TcpListener) {
+    info!(router.log, "status served"; "address" => %address);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                warn!(router.log, "accept failed"; "cause" => %e);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let router = Rc::clone(&router);
+        actix_rt::spawn(async move {
+            let service = service_fn(move |req| {
+                let response = status_answer(&router, &req);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(DEFAULT_IDLE)
+                .max_buf_size(MAX_BUFFER_BYTES)
+                .serve_connection(TokioIo::new(stream), service);
+            // A reader that leaves early is its own matter.
+            let _ = connection.await;
+        });
+    }
+}
+
+/// Path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+
+fn status_answer<B>(router: &Router, req: &Request<B>) -> Response<Body> {
+    let path = req.uri().path();
+    let (status, body) = if *req.method() != Method::GET {
+        (StatusCode::METHOD_NOT_ALLOWED, String::new())
+    } else if path == METRICS_PATH {
+        (StatusCode::OK, router.metrics.registry.encode())
+    } else if path != router.dialect.readiness_path() {
+        (StatusCode::NOT_FOUND, String::new())
+    } else if router.is_ready() {
+        (StatusCode::OK, String::new())
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, String::new())
+    };
+    let mut response = Response::new(Body::whole(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/coriandercove_router/src/path.rs
@@ -0,0 +1,295 @@
+//! Chooses the targets that a model request passes through.
+//!
+//! Answers the load pattern in which many streams share few chains whose narrowest part limits
+//! them: the choice minimises the expected time of the whole answer over every cover of the layers,
+//! counts the prompts that wait to be read at each part, and leaves out parts whose KV cache has no
+//! room for the request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coriandercove_base::{TargetId, ZoneId};
+
+use crate::fleet::LayerRange;
+use crate::load::Work;
+use crate::routes::EngineModel;
+
+/// Most parts in one path; the engines' own limit.
+const MAX_PARTS: usize = 32;
+/// Expected overhead of one more part for a token, in ms.
+const PART_OVERHEAD_MS: f64 = 0.2;
+/// Factor on the transfer time between zones, because all transfers of a pair of zones share it.
+const ZONE_LINK_CONTENTION: f64 = 3.0;
+/// Cost of a first part in another zone than the entry's, in ms; events then cross zones.
+const REMOTE_FIRST_PART_MS: f64 = 100.0;
+/// Weight of the squared KV cache occupancy on the decode time, so that a chain fills up last
+/// where another one has room.
+const OCCUPANCY_WEIGHT: f64 = 1.5;
+/// Share of the KV cache that may be reserved; the rest absorbs answers longer than expected.
+pub const KV_SHARE: f64 = 0.92;
+
+/// A target that holds layers and takes new work.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// The target.
+    pub id: TargetId,
+    /// Where it is called.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Layers that it holds.
+    pub layers: LayerRange,
+    /// KV cache, in tokens x layers.
+    pub kv_capacity: u64,
+    /// Factor on the time of a decode step, slowness included.
+    pub decode_factor: f64,
+    /// Factor on the time of prefill, slowness included.
+    pub prefill_factor: f64,
+    /// Work in flight.
+    pub work: Work,
+}
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Demand {
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Expected tokens of the answer.
+    pub answer: u32,
+}
+
+impl Demand {
+    /// KV cache that a part with this many layers reserves, in tokens x layers.
+    #[must_use]
+    pub fn kv(self, layers: u16) -> u64 {
+        u64::from(self.prompt + self.answer) * u64::from(layers)
+    }
+}
+
+/// One part of a path.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hop {
+    /// The target.
+    pub id: TargetId,
+    /// Where it is called.
+    pub address: SocketAddr,
+    /// Layers that it runs for the request.
+    pub layers: LayerRange,
+}
+
+/// A path over every layer, in order.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Path {
+    /// Parts; adjacent ranges, from layer 0 to the last, each target once.
+    pub hops: Vec<Hop>,
+    /// Expected time to the first event.
+    pub first_event: Duration,
+    /// Expected time for the whole answer.
+    pub total: Duration,
+}
+
+/// Why there is no path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoPath {
+    /// The targets that take work do not hold all layers.
+    Incomplete,
+    /// All layers are held, but some part has no room on every path.
+    Full,
+}
+
+#[derive(Clone, Copy)]
+struct Node {
+    cost: f64,
+    first_event: f64,
+    candidate: usize,
+    start: u16,
+    end: u16,
+    previous: Option<usize>,
+}
+
+/// Finds the path with the least expected time.
+///
+/// # Errors
+/// [`NoPath`] if no path has room.
+pub fn choose(
+    engine: &EngineModel,
+    candidates: &[Candidate],
+    demand: Demand,
+    entry_zone: &str,
+) -> Result<Path, NoPath> {
+    if let Some(path) = search(engine, candidates, demand, entry_zone, true) {
+        return Ok(path);
+    }
+    match search(engine, candidates, demand, entry_zone, false) {
+        Some(_) => Err(NoPath::Full),
+        None => Err(NoPath::Incomplete),
+    }
+}
+
+fn search(
+    engine: &EngineModel,
+    candidates: &[Candidate],
+    demand: Demand,
+    entry_zone: &str,
+    needs_room: bool,
+) -> Option<Path> {
+    let bounds = boundaries(engine, candidates);
+    let mut nodes: Vec<Node> = Vec::new();
+    // The best node for each boundary and zone of the last part.
+    let mut best: Vec<Vec<usize>> = vec![Vec::new(); bounds.len()];
+    for b in 0..bounds.len().saturating_sub(1) {
+        let at = bounds[b];
+        let starts: Vec<Option<usize>> = if b == 0 {
+            vec![None]
+        } else {
+            best[b].iter().copied().map(Some).collect()
+        };
+        for (i, candidate) in candidates.iter().enumerate() {
+            if candidate.layers.first > at || candidate.layers.end <= at {
+                continue;
+            }
+            for previous in &starts {
+                let before = previous.map(|p| nodes[p]);
+                if before.is_some_and(|n| n.candidate == i) {
+                    continue;
+                }
+                let link = link_cost(engine, candidates, before, candidate, demand, entry_zone);
+                for (e, &end) in bounds.iter().enumerate().skip(b + 1) {
+                    if end > candidate.layers.end {
+                        break;
+                    }
+                    if needs_room && !has_room(candidate, demand, end - at) {
+                        break;
+                    }
+                    let (read, decode) = part_cost(engine, candidate, demand, end - at);
+                    let node = Node {
+                        cost: before.map_or(0.0, |n| n.cost) + link + read + decode,
+                        first_event: before.map_or(0.0, |n| n.first_event) + read,
+                        candidate: i,
+                        start: at,
+                        end,
+                        previous: *previous,
+                    };
+                    relax(&mut nodes, &mut best[e], candidates, node);
+                }
+            }
+        }
+    }
+    let last = best.last()?;
+    let mut ends: Vec<usize> = last.clone();
+    ends.sort_by(|a, b| nodes[*a].cost.total_cmp(&nodes[*b].cost));
+    ends.into_iter()
+        .find_map(|end| assemble(&nodes, candidates, end))
+}
+
+fn boundaries(engine: &EngineModel, candidates: &[Candidate]) -> Vec<u16> {
+    let mut bounds = vec![0, engine.layers];
+    for c in candidates {
+        bounds.push(c.layers.first);
+        bounds.push(c.layers.end.min(engine.layers));
+    }
+    bounds.sort_unstable();
+    bounds.dedup();
+    bounds
+}
+
+fn relax(nodes: &mut Vec<Node>, best: &mut Vec<usize>, candidates: &[Candidate], node: Node) {
+    let zone = &candidates[node.candidate].zone;
+    let same_zone = best
+        .iter()
+        .position(|n| candidates[nodes[*n].candidate].zone == *zone);
+    match same_zone {
+        Some(i) if nodes[best[i]].cost <= node.cost => {}
+        Some(i) => {
+            best[i] = nodes.len();
+            nodes.push(node);
+        }
+        None => {
+            best.push(nodes.len());
+            nodes.push(node);
+        }
+    }
+}
+
+fn has_room(candidate: &Candidate, demand: Demand, layers: u16) -> bool {
+    let limit = candidate.kv_capacity as f64 * KV_SHARE;
+    (candidate.work.kv + demand.kv(layers)) as f64 <= limit
+}
+
+/// Expected time of prefill and of decoding at one part, in ms.
+fn part_cost(engine: &EngineModel, part: &Candidate, demand: Demand, layers: u16) -> (f64, f64) {
+    let all = f64::from(engine.layers);
+    let own_read = f64::from(demand.prompt) * f64::from(layers);
+    let unread = part.work.unread as f64 + own_read;
+    let read = unread * part.prefill_factor / (engine.prefill_per_ms * all);
+    let running = f64::from(part.work.requests + 1);
+    let context = (engine.usual_prompt + engine.usual_answer / 2.0) / 1000.0;
+    let per_sequence = engine.step_per_sequence_ms + engine.step_per_context_ms * context;
+    let step = engine.step.as_secs_f64() * 1e3 + per_sequence * running;
+    let share = f64::from(layers) / all;
+    let occupancy = part.work.kv as f64 / (part.kv_capacity as f64).max(1.0);
+    let pressure = 1.0 + OCCUPANCY_WEIGHT * occupancy * occupancy;
+    let token = share * part.decode_factor * step * pressure + PART_OVERHEAD_MS;
+    (read, token * f64::from(demand.answer))
+}
+
+/// Expected time on the link into a part, in ms.
+fn link_cost(
+    engine: &EngineModel,
+    candidates: &[Candidate],
+    before: Option<Node>,
+    part: &Candidate,
+    demand: Demand,
+    entry_zone: &str,
+) -> f64 {
+    let Some(before) = before else {
+        let is_remote = *part.zone != *entry_zone;
+        return if is_remote { REMOTE_FIRST_PART_MS } else { 0.0 };
+    };
+    let from = &candidates[before.candidate].zone;
+    if *from == part.zone {
+        return 0.0;
+    }
+    let delay = engine
+        .zone_delays
+        .iter()
+        .find(|(a, b, _)| (a == from && *b == part.zone) || (b == from && *a == part.zone))
+        .map_or(0.0, |(_, _, d)| d.as_secs_f64() * 1e3);
+    let tokens = f64::from(demand.prompt + demand.answer);
+    let bits = tokens * engine.activation_bytes * 8.0;
+    let transfer = bits / (engine.zone_link_mbps.max(1.0) * 1e3);
+    delay * f64::from(demand.answer) + transfer * ZONE_LINK_CONTENTION
+}
+
+/// The path that ends with node `end`, unless a target would appear twice or it has too many parts.
+fn assemble(nodes: &[Node], candidates: &[Candidate], end: usize) -> Option<Path> {
+    let mut hops = Vec::new();
+    let mut used = Vec::new();
+    let mut at = Some(end);
+    while let Some(i) = at {
+        let node = nodes[i];
+        if used.contains(&node.candidate) {
+            return None;
+        }
+        used.push(node.candidate);
+        let part = &candidates[node.candidate];
+        hops.push(Hop {
+            id: part.id.clone(),
+            address: part.address,
+            layers: LayerRange::new(node.start, node.end),
+        });
+        at = node.previous;
+    }
+    if hops.len() > MAX_PARTS {
+        return None;
+    }
+    hops.reverse();
+    Some(Path {
+        hops,
+        first_event: Duration::from_secs_f64(nodes[end].first_event / 1e3),
+        total: Duration::from_secs_f64(nodes[end].cost / 1e3),
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/coriandercove_router/src/placer.rs
@@ -0,0 +1,295 @@
+//! Gives orders to engines and follows what they hold.
+//!
+//! One entry gives the orders: the first by name among those that are ready and heard from. Two
+//! entries may both believe that for a moment; every order names the number of orders that the
+//! target has accepted before, so that the second one is declined.
+
+mod placements;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use slog::{info, warn};
+
+use coriandercove_base::hash::hash64;
+use coriandercove_base::timer::{Subscription, TimerService};
+use coriandercove_base::{NodeId, TargetId, Time};
+
+use crate::dialect::{PlaceOrder, Report};
+use crate::fleet::{LayerRange, Target};
+use crate::layout::{self, Holder};
+use crate::peers::Peers;
+use crate::routes::{Configuration, Service};
+use crate::state::Router;
+use crate::upstream::call;
+
+pub use placements::{Placement, Placements};
+
+/// Time between two looks at the placement.
+const PLACE_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two reports read from each engine by the entry that watches it.
+const REPORT_PERIOD: Duration = Duration::from_millis(1500);
+/// Time between two reports read from an engine that carries an order out.
+const ORDER_POLL: Duration = Duration::from_millis(500);
+/// Time for an engine to answer an order or a report.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for a part of a broken stream's path to show that it is alive.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time without a new target after which the first layout is made.
+const SETTLED: Duration = Duration::from_millis(700);
+/// Time after the first target was seen at which the first layout is made anyway.
+const SETTLE_AT_MOST: Duration = Duration::from_secs(3);
+
+/// Follows the engines and gives orders when it is this entry's turn.
+pub struct Placer {
+    router: Rc<Router>,
+    peers: Rc<Peers>,
+}
+
+impl Placer {
+    /// Starts the placer; it ends when the subscriptions are dropped.
+    #[must_use]
+    pub fn start(
+        router: Rc<Router>,
+        peers: Rc<Peers>,
+        timers: &TimerService,
+    ) -> Vec<Subscription> {
+        let placer = Rc::new(Self { router, peers });
+        let place = {
+            let placer = Rc::clone(&placer);
+            timers.subscribe(PLACE_PERIOD, move || placer.place())
+        };
+        let report = {
+            timers.subscribe(REPORT_PERIOD, move || placer.read_reports())
+        };
+        vec![place, report]
+    }
+
+    /// Whether this entry gives the orders.
+    fn is_leader(&self) -> bool {
+        let own = &self.router.settings.node;
+        let first = self.peers.ready().into_iter().min();
+        self.router.is_ready() && first.is_none_or(|peer| *own < peer)
+    }
+
+    fn place(self: &Rc<Self>) {
+        let now = self.router.now();
+        self.router.load.borrow_mut().expire(now);
+        let peers = self.router.load.borrow().peers();
+        self.router.metrics.peers.set(peers.cast_signed() as i64);
+        if !self.is_leader() {
+            return;
+        }
+        let Some(cfg) = self.router.configuration() else {
+            return;
+        };
+        for service in cfg.services().iter().filter(|s| s.engine.is_some()) {
+            self.place_service(service, now);
+        }
+    }
+
+    fn place_service(self: &Rc<Self>, service: &Arc<Service>, now: Time) {
+        let Some(engine) = &service.engine else {
+            return;
+        };
+        let targets: Vec<Arc<Target>> = {
+            let fleet = self.router.fleet.borrow();
+            fleet.of_service(&service.name).map(Arc::clone).collect()
+        };
+        self.router.placements.borrow_mut().see(&targets, now);
+        let holders: Vec<Holder> = targets
+            .iter()
+            .filter(|t| !t.is_draining)
+            .filter_map(|t| {
+                let accelerator = engine.accelerator(&t.accelerator)?.clone();
+                let planned = self.router.placements.borrow().planned(t, now);
+                Some(Holder {
+                    id: t.id.clone(),
+                    zone: t.zone.clone(),
+                    accelerator,
+                    layers: planned.or_else(|| self.router.layers(t)),
+                })
+            })
+            .collect();
+        let is_first = holders.iter().all(|h| h.layers.is_none());
+        let settled = self
+            .router
+            .placements
+            .borrow()
+            .is_settled(now, SETTLED, SETTLE_AT_MOST);
+        if !(is_first && !settled) {
+            for assignment in layout::plan(engine, &holders) {
+                if let Some(t) = targets.iter().find(|t| t.id == assignment.id) {
+                    self.order(t, assignment.layers, now);
+                }
+            }
+        }
+        self.poll_orders(&targets, now);
+    }
+
+    /// Sends an order unless the target is excluded or an order was just tried.
+    fn order(self: &Rc<Self>, target: &Arc<Target>, layers: LayerRange, now: Time) {
+        if !self.router.takes_work(target) {
+            return;
+        }
+        let sequence = {
+            let mut placements = self.router.placements.borrow_mut();
+            if !placements.begin_order(target, layers, now) {
+                return;
+            }
+            placements.sequence(target)
+        };
+        let placer = Rc::clone(self);
+        let target = Arc::clone(target);
+        actix_rt::spawn(async move {
+            let order = PlaceOrder {
+                layers,
+                expected_sequence: sequence,
+            };
+            placer.send_order(&target, order).await;
+        });
+    }
+
+    async fn send_order(&self, target: &Arc<Target>, order: PlaceOrder) {
+        let request = self.router.dialect.place_request(&order);
+        let answer = call(target.address, request, CALL_TIMEOUT).await;
+        let layers = order.layers;
+        let outcome = match &answer {
+            Ok(a) if a.status.is_success() => "accepted",
+            Ok(a) if a.status.as_u16() == 409 => "declined",
+            Ok(_) => "refused",
+            Err(_) => "unanswered",
+        };
+        self.router.metrics.order(outcome);
+        info!(self.router.log, "order"; "target" => &*target.id, "address" => %target.address,
+            "layers" => format!("{}-{}", layers.first, layers.end),
+            "expected" => order.expected_sequence, "outcome" => outcome,
+            "status" => answer.as_ref().ok().map(|a| a.status.as_u16()));
+        match outcome {
+            // An order without an answer may still be carried out; reports tell.
+            "accepted" | "unanswered" => {}
+            "declined" => {
+                // Another order was accepted: the report tells which layers it holds.
+                if let Ok(report) = read_report(&self.router, target.address).await {
+                    let now = self.router.now();
+                    let mut placements = self.router.placements.borrow_mut();
+                    placements.on_report(target, &report, now);
+                    placements.drop_order(target);
+                }
+            }
+            _ => self.router.placements.borrow_mut().drop_order(target),
+        }
+    }
+
+    fn poll_orders(self: &Rc<Self>, targets: &[Arc<Target>], now: Time) {
+        for t in targets {
+            let is_due = self
+                .router
+                .placements
+                .borrow_mut()
+                .poll_due(t, now, ORDER_POLL);
+            if is_due {
+                self.read_one(t);
+            }
+        }
+    }
+
+    /// Reads the reports of the engines that this entry watches.
+    fn read_reports(self: &Rc<Self>) {
+        let Some(cfg) = self.router.configuration() else {
+            return;
+        };
+        let mut watchers = self.peers.ready();
+        watchers.push(self.router.settings.node.clone());
+        watchers.sort();
+        let targets: Vec<Arc<Target>> = {
+            let fleet = self.router.fleet.borrow();
+            let all = fleet.iter().filter(|t| is_engine(&cfg, t));
+            all.filter(|t| watcher(&t.id, &watchers) == Some(&self.router.settings.node))
+                .map(Arc::clone)
+                .collect()
+        };
+        for t in &targets {
+            self.read_one(t);
+        }
+    }
+
+    fn read_one(self: &Rc<Self>, target: &Arc<Target>) {
+        let placer = Rc::clone(self);
+        let target = Arc::clone(target);
+        actix_rt::spawn(async move {
+            let router = &placer.router;
+            match read_report(router, target.address).await {
+                Ok(report) => {
+                    let now = router.now();
+                    let news = router
+                        .placements
+                        .borrow_mut()
+                        .on_report(&target, &report, now);
+                    if news {
+                        info!(router.log, "engine reports"; "target" => &*target.id,
+                            "layers" => report.layers.map(|l| format!("{}-{}", l.first, l.end)),
+                            "slowness" => report.slowness, "busy" => report.is_busy,
+                            "sequence" => report.order_sequence);
+                    }
+                    router.trust(target.address);
+                }
+                Err(cause) => {
+                    warn!(router.log, "no report"; "target" => &*target.id, "cause" => cause);
+                    router.suspect(target.address, "report");
+                }
+            }
+        });
+    }
+}
+
+fn is_engine(cfg: &Configuration, target: &Target) -> bool {
+    cfg.service(&target.service)
+        .is_some_and(|s| s.engine.is_some())
+}
+
+/// The entry that watches a target; the same at every entry that knows the same peers.
+fn watcher<'a>(target: &TargetId, entries: &'a [NodeId]) -> Option<&'a NodeId> {
+    entries
+        .iter()
+        .max_by_key(|e| hash64(&[target.as_bytes(), e.as_bytes()]))
+}
+
+async fn read_report(router: &Router, address: SocketAddr) -> Result<Report, String> {
+    let request = router.dialect.report_request();
+    let answer = call(address, request, CALL_TIMEOUT)
+        .await
+        .map_err(|e| e.to_string())?;
+    if !answer.status.is_success() {
+        return Err(format!("status {}", answer.status));
+    }
+    router
+        .dialect
+        .report(&answer.body)
+        .map_err(|e| e.to_string())
+}
+
+/// Asks the parts of a broken stream's path whether they are alive, and excludes those that do not
+/// answer.
+pub(crate) fn probe_parts(router: &Rc<Router>, parts: impl Iterator<Item = SocketAddr>) {
+    let addresses: Vec<SocketAddr> = {
+        let mut placements = router.placements.borrow_mut();
+        let now = router.now();
+        parts.filter(|a| placements.probe_due(*a, now)).collect()
+    };
+    let router = Rc::clone(router);
+    actix_rt::spawn(async move {
+        let probes = addresses.iter().map(|a| {
+            let request = router.dialect.report_request();
+            call(*a, request, PROBE_TIMEOUT)
+        });
+        for (address, result) in addresses.iter().zip(join_all(probes).await) {
+            if result.is_err() {
+                router.suspect(*address, "probe");
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/coriandercove_router/src/process.rs
@@ -0,0 +1,136 @@
+//! Runs an entry from its start to its stop.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::{Logger, info, warn};
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use coriandercove_base::rng;
+use coriandercove_base::timer::TimerService;
+
+use crate::dialect::{Dialect, Directory, Topic};
+use crate::front::{Front, serve_status};
+use crate::peers::Peers;
+use crate::placer::Placer;
+use crate::settings::Settings;
+use crate::state::Router;
+use crate::sync::follow;
+
+/// Time after SIGTERM in which the load balancer notices that no new connection should come here:
+/// two of its checks and one more that may have been on its way.
+const NOTICE: Duration = Duration::from_millis(2600);
+/// Part of the grace that is left for the exit itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Time between two looks at open connections while stopping.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// Why an entry does not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address cannot be bound.
+    #[snafu(display("{purpose} {address}: {source}"))]
+    Bind {
+        /// What the address is for.
+        purpose: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A signal cannot be handled.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+async fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .context(BindSnafu { purpose, address })
+}
+
+fn on_signal(kind: SignalKind) -> Result<Signal, StartError> {
+    signal(kind).context(SignalsSnafu)
+}
+
+/// Runs an entry until SIGTERM or SIGINT.
+///
+/// # Errors
+/// [`StartError`] if an address cannot be bound or signals cannot be handled.
+pub async fn run(
+    settings: Settings,
+    dialect: Rc<dyn Dialect>,
+    directory: Rc<dyn Directory>,
+    log: Logger,
+) -> Result<(), StartError> {
+    let callers = listen("callers", settings.callers).await?;
+    let readiness = listen("readiness", settings.readiness).await?;
+    let address = settings.peers;
+    let socket = UdpSocket::bind(address).await.context(BindSnafu {
+        purpose: "peers",
+        address,
+    })?;
+    let mut term = on_signal(SignalKind::terminate())?;
+    let mut interrupt = on_signal(SignalKind::interrupt())?;
+    let mut hangup = on_signal(SignalKind::hangup())?;
+    info!(log, "start"; "node" => &*settings.node, "zone" => &*settings.zone,
+        "callers" => %settings.callers, "store" => %settings.store);
+    let router = Rc::new(Router::new(settings, dialect, log, rng::from_os()));
+    let timers = TimerService::start();
+    for topic in [Topic::Configuration, Topic::Targets] {
+        actix_rt::spawn(follow(Rc::clone(&router), Rc::clone(&directory), topic));
+    }
+    let (peers, _sending) = Peers::start(Rc::clone(&router), socket, &timers);
+    let _placing = Placer::start(Rc::clone(&router), peers, &timers);
+    let front = Front::new(Rc::clone(&router));
+    actix_rt::spawn(Rc::clone(&front).accept(callers));
+    actix_rt::spawn(serve_status(
+        Rc::clone(&router),
+        router.settings.readiness,
+        readiness,
+    ));
+    if let Some(address) = router.settings.metrics {
+        let listener = listen("metrics", address).await?;
+        actix_rt::spawn(serve_status(Rc::clone(&router), address, listener));
+    }
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(&router),
+        }
+    }
+    stop(&router, &front).await;
+    Ok(())
+}
+
+/// Settings hold addresses and bounds that belong to the process for its life; a change takes
+/// effect with the next start.
+fn reload(router: &Router) {
+    info!(router.log, "reload"; "effect" => "settings apply from the next start");
+}
+
+async fn stop(router: &Router, front: &Front) {
+    let began = router.now();
+    let grace = router.settings.grace().saturating_sub(EXIT_MARGIN);
+    router.is_leaving.set(true);
+    info!(router.log, "stopping"; "connections" => front.open(),
+        "requests" => router.in_flight.get());
+    tokio::time::sleep(NOTICE.min(grace / 2)).await;
+    front.close();
+    while front.open() > 0 && router.now().saturating_sub(began) < grace {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+    if front.open() > 0 {
+        warn!(router.log, "stopped with open connections"; "connections" => front.open(),
+            "requests" => router.in_flight.get());
+    } else {
+        info!(router.log, "stopped");
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_router/src/relay.rs
@@ -0,0 +1,289 @@
+//! Bodies of answers: whole ones, and streams that go on at another target when one breaks.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use futures_util::stream::unfold;
+use http_body_util::BodyExt;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use slog::{info, warn};
+use snafu::Snafu;
+
+use coriandercove_base::Time;
+
+use crate::attempt::{Failure, Next};
+use crate::proxy::{Job, Started};
+use crate::sse::{Splitter, Verdict};
+
+/// Why a body ends before its end; the connection to the caller is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum BodyError {
+    /// The target broke off and the stream cannot go on elsewhere.
+    #[snafu(display("the target broke off"))]
+    Broken,
+    /// The deadline of the request passed.
+    #[snafu(display("the deadline passed"))]
+    Deadline,
+}
+
+/// Body of an answer to a caller.
+pub enum Body {
+    /// Known as a whole.
+    Whole(Option<Bytes>),
+    /// Forwarded as it arrives.
+    Stream(Pin<Box<dyn Stream<Item = Result<Bytes, BodyError>>>>),
+}
+
+impl Body {
+    /// A body known as a whole.
+    #[must_use]
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Stream(stream) => stream
+                .as_mut()
+                .poll_next(cx)
+                .map(|item| item.map(|piece| piece.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Stream(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+            }
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Silence in a running stream after which it goes on elsewhere: pauses are judged against the
+/// objective, and a chain that is merely slow must not be left for every pause.
+const STALL_FACTOR: u32 = 4;
+/// Least silence that counts as a stall.
+const MIN_STALL: Duration = Duration::from_millis(600);
+
+/// Forwards the events of one request.
+struct Relay {
+    job: Job,
+    current: Option<Started>,
+    splitter: Splitter,
+    began: Time,
+    has_event: bool,
+    last_data: Time,
+    events: u32,
+}
+
+enum Read {
+    Data(Bytes),
+    End,
+    Broken(&'static str),
+    Deadline,
+}
+
+/// A body that forwards a stream from its first attempt on.
+pub(crate) fn stream(job: Job, started: Started) -> Body {
+    let now = job.router.now();
+    let relay = Relay {
+        began: job.arrived,
+        job,
+        current: Some(started),
+        splitter: Splitter::default(),
+        has_event: false,
+        last_data: now,
+        events: 0,
+    };
+    let pieces = unfold(Some(relay), |state| async move {
+        let mut relay = state?;
+        match relay.next().await {
+            Some(Ok(piece)) => Some((Ok(piece), Some(relay))),
+            Some(Err(e)) => Some((Err(e), None)),
+            None => None,
+        }
+    });
+    Body::Stream(Box::pin(pieces))
+}
+
+impl Relay {
+    async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
+        loop {
+            match self.whole_events() {
+                Ok(Some(piece)) => return Some(Ok(piece)),
+                Ok(None) => {}
+                Err(cause) => {
+                    if let Err(e) = self.go_on_elsewhere(cause).await {
+                        return Some(Err(e));
+                    }
+                    continue;
+                }
+            }
+            let cause = match self.read().await {
+                Read::Data(bytes) => {
+                    self.last_data = self.job.router.now();
+                    match self.splitter.push(&bytes) {
+                        Ok(()) => continue,
+                        Err(_) => "event_too_long",
+                    }
+                }
+                Read::End if !self.splitter.has_partial() => {
+                    self.finish();
+                    return None;
+                }
+                Read::End => "cut_short",
+                Read::Broken(cause) => cause,
+                Read::Deadline => {
+                    self.log_end("deadline");
+                    return Some(Err(BodyError::Deadline));
+                }
+            };
+            if let Err(e) = self.go_on_elsewhere(cause).await {
+                return Some(Err(e));
+            }
+        }
+    }
+
+    /// The whole events that have arrived and that the caller lacks.
+    fn whole_events(&mut self) -> Result<Option<Bytes>, &'static str> {
+        let mut piece: Option<BytesMut> = None;
+        let mut single: Option<Bytes> = None;
+        while let Some(event) = self.splitter.next_event() {
+            match self.job.cursor.accept(event.id) {
+                Verdict::Duplicate => continue,
+                Verdict::Gap => {
+                    if single.is_none() && piece.is_none() {
+                        return Err("gap");
+                    }
+                    // What came before the gap is forwarded; the next read finds the stream broken.
+                    self.current = None;
+                    self.splitter.clear();
+                    break;
+                }
+                Verdict::Forward => self.events += 1,
+            }
+            match (&mut piece, single.take()) {
+                (Some(buf), _) => buf.extend_from_slice(&event.bytes),
+                (None, None) => single = Some(event.bytes),
+                (None, Some(first)) => {
+                    let mut buf = BytesMut::from(&first[..]);
+                    buf.extend_from_slice(&event.bytes);
+                    piece = Some(buf);
+                }
+            }
+        }
+        let out = piece.map(BytesMut::freeze).or(single);
+        if out.is_some() {
+            self.note_first_event();
+        }
+        Ok(out)
+    }
+
+    fn note_first_event(&mut self) {
+        if let Some(current) = &mut self.current {
+            current.in_flight.prompt_is_read();
+        }
+        if !self.has_event {
+            self.has_event = true;
+            let took = self.job.router.now().saturating_sub(self.began);
+            self.job.router.metrics.first_event(took);
+        }
+    }
+
+    async fn read(&mut self) -> Read {
+        let now = self.job.router.now();
+        let left = self.job.deadline.saturating_sub(now);
+        let stall = self.stall_limit();
+        let Some(current) = &mut self.current else {
+            return Read::Broken("gap");
+        };
+        let frame = tokio::time::timeout(left.min(stall), current.exchange.body.frame()).await;
+        match frame {
+            Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(bytes) => Read::Data(bytes),
+                // Trailers carry nothing that is used.
+                Err(_) => Read::Data(Bytes::new()),
+            },
+            Ok(Some(Err(_))) => Read::Broken("connection"),
+            Ok(None) => Read::End,
+            Err(_) if stall < left => Read::Broken("stall"),
+            Err(_) => Read::Deadline,
+        }
+    }
+
+    fn stall_limit(&self) -> Duration {
+        if !self.has_event {
+            return self.job.router.settings.stall();
+        }
+        let gap = self.job.route.gap_objective.unwrap_or(MIN_STALL);
+        (gap * STALL_FACTOR).max(MIN_STALL)
+    }
+
+    async fn go_on_elsewhere(&mut self, cause: &'static str) -> Result<(), BodyError> {
+        self.splitter.clear();
+        if let Some(lost) = self.current.take() {
+            self.job.examine(&lost, cause);
+        }
+        let mut failure = Failure::Unknown;
+        loop {
+            let next = self.job.on_failure(failure);
+            if next != Next::Retry {
+                self.log_end(cause);
+                return Err(BodyError::Broken);
+            }
+            self.job.router.metrics.continuation(cause);
+            match self.job.start().await {
+                Ok(started) if started.exchange.head.status.is_success() => {
+                    info!(self.job.router.log, "stream continues"; "req" => &*self.job.head.label,
+                        "cause" => cause, "after" => self.job.cursor.last(),
+                        "first" => %started.address);
+                    self.current = Some(started);
+                    self.last_data = self.job.router.now();
+                    return Ok(());
+                }
+                Ok(_) => failure = Failure::Unknown,
+                Err(e) => failure = e.failure,
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        self.log_end("whole");
+        if let Some(current) = &self.current {
+            self.job.router.trust(current.address);
+        }
+    }
+
+    fn log_end(&self, end: &str) {
+        let took = self.job.router.now().saturating_sub(self.began);
+        self.job.router.metrics.answer(200, took);
+        if end == "whole" {
+            info!(self.job.router.log, "answered"; "req" => &*self.job.head.label, "status" => 200,
+                "events" => self.events, "ms" => took.as_millis(),
+                "attempts" => self.job.attempts.sent + 1);
+        } else {
+            warn!(self.job.router.log, "stream broken off"; "req" => &*self.job.head.label,
+                "cause" => end, "events" => self.events, "ms" => took.as_millis());
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_router/src/settings.rs
@@ -0,0 +1,150 @@
+//! Settings of an entry.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use snafu::{ResultExt, Snafu, ensure};
+
+use coriandercove_base::{NodeId, ZoneId};
+
+/// Settings of an entry, read from a YAML file.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this process, unique in the deployment.
+    pub node: NodeId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the load balancer asks for readiness.
+    pub readiness: SocketAddr,
+    /// The platform's object store.
+    pub store: SocketAddr,
+    /// Where the other entries send datagrams.
+    pub peers: SocketAddr,
+    /// Some other entries; their datagrams go to the same port as this one's.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Where metrics are served; none if absent.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+    /// Time from SIGTERM to SIGKILL, in seconds.
+    pub grace_seconds: f64,
+    /// Descriptors that the process may open.
+    pub max_descriptors: usize,
+    /// Memory of the process, in MB.
+    pub memory_mb: usize,
+    /// Repeats that all entries may send within the window, for each request of callers.
+    pub retry_ratio: f64,
+    /// Repeats that all entries may send within the window in addition.
+    pub retry_slack: f64,
+    /// Length of the window, in seconds.
+    pub retry_window_seconds: f64,
+    /// Time that a target in a broken chain keeps requests waiting, in ms.
+    pub stall_ms: u64,
+}
+
+/// Why settings are not usable.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("{path}: {source}"))]
+    Read {
+        /// File.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file is not YAML of the expected form; the source names line and key.
+    #[snafu(display("{path}: {source}"))]
+    Parse {
+        /// File.
+        path: String,
+        /// Why.
+        source: serde_norway::Error,
+    },
+    /// A value is out of its range.
+    #[snafu(display("{path}: {key} is {value}; allowed: {allowed}"))]
+    Range {
+        /// File.
+        path: String,
+        /// Key.
+        key: &'static str,
+        /// Value found.
+        value: String,
+        /// What is allowed.
+        allowed: &'static str,
+    },
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// [`SettingsError`] names the file, the place and what is allowed.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).context(ReadSnafu { path: &name })?;
+        Self::parse(&text, &name)
+    }
+
+    /// Parses and checks settings; `path` is named in errors.
+    ///
+    /// # Errors
+    /// As [`Settings::read`].
+    pub fn parse(text: &str, path: &str) -> Result<Self, SettingsError> {
+        let settings: Self = serde_norway::from_str(text).context(ParseSnafu { path })?;
+        settings.check(path)?;
+        Ok(settings)
+    }
+
+    fn check(&self, path: &str) -> Result<(), SettingsError> {
+        let ranges = [
+            ("grace_seconds", self.grace_seconds, 0.5, "0.5 or more"),
+            ("retry_ratio", self.retry_ratio, 0.0, "0 or more"),
+            ("retry_slack", self.retry_slack, 0.0, "0 or more"),
+            (
+                "retry_window_seconds",
+                self.retry_window_seconds,
+                0.1,
+                "0.1 or more",
+            ),
+            (
+                "max_descriptors",
+                self.max_descriptors as f64,
+                256.0,
+                "256 or more",
+            ),
+            ("memory_mb", self.memory_mb as f64, 16.0, "16 or more"),
+        ];
+        for (key, value, least, allowed) in ranges {
+            ensure!(
+                value.is_finite() && value >= least,
+                RangeSnafu {
+                    path,
+                    key,
+                    value: value.to_string(),
+                    allowed
+                }
+            );
+        }
+        Ok(())
+    }
+
+    /// Time that a target in a broken chain keeps requests waiting.
+    #[must_use]
+    pub fn stall(&self) -> Duration {
+        Duration::from_millis(self.stall_ms)
+    }
+
+    /// Time from SIGTERM to SIGKILL.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_seconds)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/coriandercove_router/src/state.rs
@@ -0,0 +1,272 @@
+//! What a router knows and has in flight.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use slog::{Logger, info, warn};
+
+use coriandercove_base::rng::Rng;
+use coriandercove_base::{Clock, MonotonicClock, Time};
+
+use crate::budget::RetryBudget;
+use crate::dialect::Dialect;
+use crate::events::RouterMetrics;
+use crate::fleet::{Fleet, LayerRange, Target};
+use crate::layout;
+use crate::load::{Load, Work};
+use crate::path::{Candidate, Demand, Hop, NoPath, Path, choose};
+use crate::placer::Placements;
+use crate::routes::{Configuration, Service};
+use crate::settings::Settings;
+use crate::suspects::Suspects;
+
+/// State of a router, shared by the parts of its runtime on one thread.
+pub struct Router {
+    /// Settings at the start.
+    pub settings: Settings,
+    /// Headers and bodies.
+    pub dialect: Rc<dyn Dialect>,
+    /// Log.
+    pub log: Logger,
+    /// Counters.
+    pub metrics: RouterMetrics,
+    clock: MonotonicClock,
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    /// Listed targets.
+    pub fleet: RefCell<Fleet>,
+    /// Work in flight.
+    pub load: RefCell<Load>,
+    /// Targets without new work.
+    pub suspects: RefCell<Suspects>,
+    /// Orders given and layers reported since the platform's last list.
+    pub placements: RefCell<Placements>,
+    /// Repeats.
+    pub budget: RefCell<RetryBudget>,
+    /// Source of random choices.
+    pub rng: RefCell<Rng>,
+    /// Whether the process is about to stop.
+    pub is_leaving: Cell<bool>,
+    /// Requests in flight.
+    pub in_flight: Cell<usize>,
+}
+
+impl Router {
+    /// A router that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, dialect: Rc<dyn Dialect>, log: Logger, rng: Rng) -> Self {
+        let window = std::time::Duration::from_secs_f64(settings.retry_window_seconds);
+        let budget = RetryBudget::new(settings.retry_ratio, settings.retry_slack, window);
+        Self {
+            settings,
+            dialect,
+            log,
+            metrics: RouterMetrics::default(),
+            clock: MonotonicClock::default(),
+            configuration: RefCell::new(None),
+            fleet: RefCell::default(),
+            load: RefCell::default(),
+            suspects: RefCell::default(),
+            placements: RefCell::default(),
+            budget: RefCell::new(budget),
+            rng: RefCell::new(rng),
+            is_leaving: Cell::new(false),
+            in_flight: Cell::new(0),
+        }
+    }
+
+    /// Time since the start.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Puts a configuration in force unless the one in force is newer.
+    pub fn apply(&self, new: Rc<Configuration>) {
+        let old = self.configuration();
+        if old.is_some_and(|old| old.revision >= new.revision) {
+            return;
+        }
+        info!(self.log, "configuration in force"; "version" => new.version,
+            "revision" => new.revision, "routes" => new.route_count());
+        self.metrics.version.set(new.version.cast_signed());
+        *self.configuration.borrow_mut() = Some(new);
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let knows = self.configuration.borrow().is_some() && !self.fleet.borrow().is_empty();
+        knows && !self.is_leaving.get()
+    }
+
+    /// Takes a failure of a target in.
+    pub fn suspect(&self, target: SocketAddr, cause: &str) {
+        let excluded = self.suspects.borrow_mut().on_failure(target, self.now());
+        if let Some(time) = excluded {
+            self.metrics.exclusion(cause);
+            warn!(self.log, "target excluded"; "target" => %target, "cause" => cause,
+                "ms" => time.as_millis());
+        }
+    }
+
+    /// Takes a success of a target in.
+    pub fn trust(&self, target: SocketAddr) {
+        if self.suspects.borrow_mut().on_success(target) {
+            info!(self.log, "target trusted again"; "target" => %target);
+        }
+    }
+
+    /// Whether a target takes new work.
+    #[must_use]
+    pub fn takes_work(&self, target: &Target) -> bool {
+        let is_excluded = self
+            .suspects
+            .borrow()
+            .is_excluded(target.address, self.now());
+        !target.is_draining && !is_excluded
+    }
+
+    /// Layers that a target holds, by the newest knowledge.
+    #[must_use]
+    pub fn layers(&self, target: &Target) -> Option<LayerRange> {
+        self.placements.borrow().loaded(target).or(target.layers)
+    }
+
+    /// Chooses a path for a model request.
+    ///
+    /// # Errors
+    /// [`NoPath`] if no path has room.
+    pub fn choose_path(&self, service: &Service, demand: Demand) -> Result<Path, NoPath> {
+        let Some(engine) = &service.engine else {
+            return Err(NoPath::Incomplete);
+        };
+        let fleet = self.fleet.borrow();
+        let load = self.load.borrow();
+        let candidates: Vec<Candidate> = fleet
+            .of_service(&service.name)
+            .filter(|t| self.takes_work(t))
+            .filter_map(|t| {
+                let layers = self.layers(t)?;
+                let accelerator = engine.accelerator(&t.accelerator)?;
+                let slowness = self.placements.borrow().slowness(t);
+                Some(Candidate {
+                    id: t.id.clone(),
+                    address: t.address,
+                    zone: t.zone.clone(),
+                    layers,
+                    kv_capacity: layout::kv_capacity(engine, accelerator, layers.len()),
+                    decode_factor: accelerator.decode_factor * slowness,
+                    prefill_factor: accelerator.prefill_factor * slowness,
+                    work: load.total(t.address),
+                })
+            })
+            .collect();
+        choose(engine, &candidates, demand, &self.settings.zone)
+    }
+
+    /// Chooses the target of a plain service with the fewest requests for its slots, in this zone
+    /// where that makes no difference.
+    #[must_use]
+    pub fn choose_target(&self, service: &str, tried: &[SocketAddr]) -> Option<Arc<Target>> {
+        let fleet = self.fleet.borrow();
+        let load = self.load.borrow();
+        let usable: Vec<&Arc<Target>> = fleet
+            .of_service(service)
+            .filter(|t| !t.is_draining && !tried.contains(&t.address))
+            .collect();
+        let trusted = usable.iter().filter(|t| self.takes_work(t));
+        let rank = |t: &Arc<Target>| {
+            let requests = f64::from(load.total(t.address).requests);
+            let is_remote = t.zone != self.settings.zone;
+            requests / f64::from(t.slots.max(1)) + if is_remote { REMOTE_RANK } else { 0.0 }
+        };
+        let least = |a: &&&Arc<Target>, b: &&&Arc<Target>| rank(a).total_cmp(&rank(b));
+        let best = trusted.min_by(least).or_else(|| usable.iter().min_by(least));
+        best.map(|t| Arc::clone(t))
+    }
+
+    /// Takes one repeat out of this entry's share of the budget.
+    pub fn take_repeat(&self) -> bool {
+        let entries = self.load.borrow().peers() + 1;
+        self.budget.borrow_mut().take(self.now(), entries)
+    }
+}
+
+/// Advantage of a target in the entry's own zone, in requests for each slot.
+const REMOTE_RANK: f64 = 0.3;
+
+/// Work of one attempt; it ends when this value is dropped.
+pub struct InFlight {
+    router: Rc<Router>,
+    work: Vec<(SocketAddr, Work)>,
+}
+
+impl InFlight {
+    /// Adds the work of an attempt over these parts.
+    #[must_use]
+    pub fn over_path(router: &Rc<Router>, hops: &[Hop], demand: Demand) -> Self {
+        let work = hops.iter().enumerate().map(|(i, hop)| {
+            let layers = hop.layers.len();
+            let work = Work {
+                requests: 1,
+                first_parts: u32::from(i == 0),
+                kv: demand.kv(layers),
+                unread: u64::from(demand.prompt) * u64::from(layers),
+            };
+            (hop.address, work)
+        });
+        Self::begin(router, work.collect())
+    }
+
+    /// Adds the work of a request to a plain service.
+    #[must_use]
+    pub fn at_target(router: &Rc<Router>, target: SocketAddr) -> Self {
+        let work = Work {
+            requests: 1,
+            first_parts: 1,
+            ..Work::default()
+        };
+        Self::begin(router, vec![(target, work)])
+    }
+
+    fn begin(router: &Rc<Router>, work: Vec<(SocketAddr, Work)>) -> Self {
+        let mut load = router.load.borrow_mut();
+        for (target, work) in &work {
+            load.begin(*target, *work);
+        }
+        drop(load);
+        Self {
+            router: Rc::clone(router),
+            work,
+        }
+    }
+
+    /// Notes that the prompt has been read.
+    pub fn prompt_is_read(&mut self) {
+        let mut load = self.router.load.borrow_mut();
+        for (target, work) in &mut self.work {
+            let read = Work {
+                unread: std::mem::take(&mut work.unread),
+                ..Work::default()
+            };
+            load.end(*target, read);
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut load = self.router.load.borrow_mut();
+        for (target, work) in &self.work {
+            load.end(*target, *work);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_router/src/sync.rs
@@ -0,0 +1,235 @@
+//! Follows the configuration and the targets on the platform.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng as _;
+use slog::{info, warn};
+
+use coriandercove_base::Time;
+
+use crate::dialect::{Batch, Directory, DirectoryError, Item, Topic};
+use crate::state::Router;
+
+/// Time that a watch waits for a change. A silent connection is noticed after it; the bound on
+/// configuration leaves no more while the number of calls is priced.
+const WATCH: Duration = Duration::from_secs(5);
+/// Pause between watches, so that changes in series take one call.
+const BATCH_PAUSE: Duration = Duration::from_millis(250);
+/// First and longest pause after a failed call.
+const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
+/// Time after the platform's return in which entries that lapsed meanwhile come back.
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
+/// Time without an answer after which entries may have lapsed.
+const LAPSE_OUTAGE: Duration = Duration::from_secs(1);
+
+/// Follows one topic for the life of the process.
+pub async fn follow(router: Rc<Router>, directory: Rc<dyn Directory>, topic: Topic) {
+    let mut follower = Follower {
+        router,
+        directory,
+        topic,
+        revision: None,
+        failed_since: None,
+        regained: None,
+        failures: 0,
+        lapsed: Vec::new(),
+    };
+    loop {
+        follower.step().await;
+    }
+}
+
+struct Follower {
+    router: Rc<Router>,
+    directory: Rc<dyn Directory>,
+    topic: Topic,
+    /// Revision up to which changes are known.
+    revision: Option<u64>,
+    failed_since: Option<Time>,
+    regained: Option<Time>,
+    failures: u32,
+    /// Targets removed just after an outage, with the time at which they count as gone.
+    lapsed: Vec<(Arc<str>, Time)>,
+}
+
+impl Follower {
+    async fn step(&mut self) {
+        let known = self.revision;
+        let result = match known {
+            None => self.directory.list(self.topic).await,
+            Some(after) => {
+                let wait = if self.lapsed.is_empty() {
+                    WATCH
+                } else {
+                    BATCH_PAUSE
+                };
+                self.directory.changes(self.topic, after, wait).await
+            }
+        };
+        match result {
+            Ok(batch) => {
+                self.on_answer();
+                let has_items = !batch.items.is_empty();
+                self.apply(batch, known.is_none());
+                self.remove_lapsed();
+                if has_items {
+                    tokio::time::sleep(BATCH_PAUSE).await;
+                }
+            }
+            Err(DirectoryError::HistoryGone) => {
+                info!(self.router.log, "history gone, listing again"; "topic" => self.topic.as_str(),
+                    "revision" => self.revision);
+                self.revision = None;
+            }
+            Err(e) => {
+                self.on_error(&e);
+                tokio::time::sleep(self.pause()).await;
+            }
+        }
+    }
+
+    fn on_answer(&mut self) {
+        let now = self.router.now();
+        if let Some(since) = self.failed_since.take() {
+            let outage = now.saturating_sub(since);
+            info!(self.router.log, "platform regained"; "topic" => self.topic.as_str(),
+                "after_ms" => outage.as_millis());
+            if outage >= LAPSE_OUTAGE {
+                self.regained = Some(now);
+            }
+        }
+        self.failures = 0;
+    }
+
+    fn on_error(&mut self, e: &DirectoryError) {
+        self.router.metrics.platform_error(self.topic.as_str());
+        if self.failed_since.is_none() {
+            self.failed_since = Some(self.router.now());
+            warn!(self.router.log, "platform lost"; "topic" => self.topic.as_str(),
+                "cause" => %e, "revision" => self.revision);
+        }
+        self.failures += 1;
+    }
+
+    /// Doubles up to the longest pause, with jitter, so that entries do not return together.
+    fn pause(&self) -> Duration {
+        let doublings = self.failures.saturating_sub(1).min(8);
+        let pause = (RETRY_PAUSE.0 * (1 << doublings)).min(RETRY_PAUSE.1);
+        pause.mul_f64(self.router.rng.borrow_mut().random_range(0.5..1.0))
+    }
+
+    fn apply(&mut self, batch: Batch, is_whole: bool) {
+        if self.revision.is_some_and(|known| batch.revision < known) {
+            // An older state than the one known: nothing may go back.
+            warn!(self.router.log, "stale answer dropped"; "topic" => self.topic.as_str(),
+                "revision" => batch.revision, "known" => self.revision);
+            return;
+        }
+        if is_whole && self.topic == Topic::Targets {
+            self.remove_missing(&batch);
+        }
+        for item in batch.items {
+            self.apply_item(item);
+        }
+        self.revision = Some(batch.revision);
+        let targets = self.router.fleet.borrow().len();
+        self.router.metrics.targets.set(targets.cast_signed() as i64);
+    }
+
+    fn apply_item(&mut self, item: Item) {
+        match item {
+            Item::Configuration(cfg) => self.router.apply(cfg),
+            Item::Target(target) => {
+                self.lapsed.retain(|(name, _)| *name != target.id);
+                self.insert(target);
+            }
+            Item::Unreadable { name, problem } => {
+                self.router.metrics.unreadable(self.topic.as_str());
+                warn!(self.router.log, "object not readable"; "topic" => self.topic.as_str(),
+                    "name" => &*name, "cause" => %problem);
+                if self.topic == Topic::Targets {
+                    self.remove(&name);
+                }
+            }
+            Item::Removed { name } if self.topic == Topic::Targets => self.remove(&name),
+            Item::Removed { name } => {
+                warn!(self.router.log, "object removed, what is known stays in force";
+                    "topic" => self.topic.as_str(), "name" => &*name);
+            }
+        }
+    }
+
+    fn insert(&mut self, target: Arc<crate::fleet::Target>) {
+        let old = self.router.fleet.borrow_mut().insert(Arc::clone(&target));
+        let is_news = old.as_ref().is_none_or(|o| {
+            o.is_draining != target.is_draining
+                || o.started_ms != target.started_ms
+                || o.layers != target.layers
+                || o.address != target.address
+        });
+        if is_news {
+            info!(self.router.log, "target"; "id" => &*target.id, "address" => %target.address,
+                "zone" => &*target.zone, "draining" => target.is_draining,
+                "started_ms" => target.started_ms, "accelerator" => &*target.accelerator,
+                "layers" => target.layers.map(|l| format!("{}-{}", l.first, l.end)));
+        }
+        self.router.placements.borrow_mut().on_listed(&target);
+    }
+
+    fn remove_missing(&mut self, batch: &Batch) {
+        let mut listed: Vec<&str> = batch
+            .items
+            .iter()
+            .filter_map(|i| match i {
+                Item::Target(t) => Some(&*t.id),
+                _ => None,
+            })
+            .collect();
+        listed.sort_unstable();
+        let missing: Vec<Arc<str>> = self
+            .router
+            .fleet
+            .borrow()
+            .iter()
+            .filter(|t| listed.binary_search(&&*t.id).is_err())
+            .map(|t| t.id.clone())
+            .collect();
+        for id in missing {
+            self.remove(&id);
+        }
+    }
+
+    /// Removes a target, or keeps it for a while if it may have lapsed in an outage.
+    fn remove(&mut self, id: &Arc<str>) {
+        let now = self.router.now();
+        let due = self.regained.map(|at| at + LAPSE_GRACE);
+        match due {
+            Some(due) if now < due => {
+                if self.router.fleet.borrow().get(id).is_some()
+                    && !self.lapsed.iter().any(|(name, _)| name == id)
+                {
+                    self.lapsed.push((Arc::clone(id), due));
+                }
+            }
+            _ => self.remove_now(id),
+        }
+    }
+
+    fn remove_now(&mut self, id: &str) {
+        if self.router.fleet.borrow_mut().remove(id).is_some() {
+            info!(self.router.log, "target gone"; "id" => id);
+        }
+    }
+
+    fn remove_lapsed(&mut self) {
+        let now = self.router.now();
+        let (due, waiting): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.lapsed).into_iter().partition(|(_, at)| *at <= now);
+        self.lapsed = waiting;
+        for (id, _) in due {
+            self.remove_now(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriandercove_router/src/upstream.rs
@@ -0,0 +1,212 @@
+//! HTTP connections to targets and to the platform.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderMap;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+
+/// Time for a connection to be established inside a deployment; links take milliseconds.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Why an exchange failed.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum ExchangeError {
+    /// No byte of the request has left.
+    #[snafu(display("not connected: {problem}"))]
+    NotSent {
+        /// What happened.
+        problem: String,
+    },
+    /// The request may have arrived.
+    #[snafu(display("no whole answer: {problem}"))]
+    Broken {
+        /// What happened.
+        problem: String,
+    },
+}
+
+/// Keeps a connection alive; dropping it closes the connection at once.
+#[derive(Debug)]
+pub struct ConnectionGuard(JoinHandle<()>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// An answer whose body is still to be read.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Status and headers.
+    pub head: hyper::http::response::Parts,
+    /// The rest of the answer.
+    pub body: Incoming,
+    /// Closes the connection when dropped.
+    pub guard: ConnectionGuard,
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+async fn connect(to: SocketAddr) -> Result<(Sender, ConnectionGuard), ExchangeError> {
+    let not_sent = |problem: String| ExchangeError::NotSent { problem };
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(to))
+        .await
+        .map_err(|_| not_sent(format!("{to}: no connection within {CONNECT_TIMEOUT:?}")))?
+        .map_err(|e| not_sent(format!("{to}: {e}")))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|e| not_sent(format!("{to}: {e}")))?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| not_sent(format!("{to}: {e}")))?;
+    let task = actix_rt::spawn(async move {
+        // The exchange that uses the connection sees its error.
+        let _ = connection.await;
+    });
+    Ok((sender, ConnectionGuard(task)))
+}
+
+/// Bytes that one connection buffers; bounds the memory of a process with many streams.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Sends one request on a connection of its own.
+///
+/// # Errors
+/// [`ExchangeError::NotSent`] if the connection could not be established, otherwise
+/// [`ExchangeError::Broken`].
+pub async fn send(to: SocketAddr, request: Request<Bytes>) -> Result<Exchange, ExchangeError> {
+    let (mut sender, guard) = connect(to).await?;
+    let response = sender
+        .send_request(request.map(Full::new))
+        .await
+        .map_err(|e| ExchangeError::Broken {
+            problem: format!("{to}: {e}"),
+        })?;
+    let (head, body) = response.into_parts();
+    Ok(Exchange { head, body, guard })
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Reads the rest of an answer, up to `limit` bytes.
+///
+/// # Errors
+/// [`ExchangeError::Broken`] if it is cut short or too long.
+pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ExchangeError> {
+    let collected = Limited::new(body, limit).collect().await;
+    let whole = collected.map_err(|e| ExchangeError::Broken {
+        problem: e.to_string(),
+    })?;
+    Ok(whole.to_bytes())
+}
+
+/// Largest answer of the platform or of a report; the store's own limit for a list is 1 MB.
+const MAX_CALL_BYTES: usize = 8 * 1024 * 1024;
+
+/// Sends one request on a connection of its own and reads the whole answer.
+///
+/// # Errors
+/// As [`send`]; also if `timeout` passes.
+pub async fn call(
+    to: SocketAddr,
+    request: Request<Bytes>,
+    timeout: Duration,
+) -> Result<Answer, ExchangeError> {
+    let exchange = async {
+        let exchange = send(to, request).await?;
+        let body = read_body(exchange.body, MAX_CALL_BYTES).await?;
+        Ok(Answer {
+            status: exchange.head.status,
+            headers: exchange.head.headers,
+            body,
+        })
+    };
+    tokio::time::timeout(timeout, exchange)
+        .await
+        .unwrap_or_else(|_| {
+            Err(ExchangeError::Broken {
+                problem: format!("{to}: no answer within {timeout:?}"),
+            })
+        })
+}
+
+/// A kept connection to one address for calls that follow one another.
+#[derive(Debug)]
+pub struct Channel {
+    to: SocketAddr,
+    kept: RefCell<Option<(Sender, ConnectionGuard)>>,
+}
+
+impl Channel {
+    /// A channel that connects with its first call.
+    #[must_use]
+    pub fn new(to: SocketAddr) -> Self {
+        Self {
+            to,
+            kept: RefCell::new(None),
+        }
+    }
+
+    /// Makes a call; the connection is kept only after a whole answer.
+    ///
+    /// # Errors
+    /// As [`call`].
+    pub async fn call(
+        &self,
+        request: Request<Bytes>,
+        timeout: Duration,
+    ) -> Result<Answer, ExchangeError> {
+        let exchange = async {
+            let kept = self.kept.borrow_mut().take();
+            let (mut sender, guard) = match kept {
+                Some((sender, guard)) if !sender.is_closed() => (sender, guard),
+                _ => connect(self.to).await?,
+            };
+            let broken = |e: hyper::Error| ExchangeError::Broken {
+                problem: format!("{}: {e}", self.to),
+            };
+            sender.ready().await.map_err(broken)?;
+            let response: Response<Incoming> = sender
+                .send_request(request.map(Full::new))
+                .await
+                .map_err(broken)?;
+            let (head, body) = response.into_parts();
+            let body = read_body(body, MAX_CALL_BYTES).await?;
+            *self.kept.borrow_mut() = Some((sender, guard));
+            Ok(Answer {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })
+        };
+        tokio::time::timeout(timeout, exchange)
+            .await
+            .unwrap_or_else(|_| {
+                Err(ExchangeError::Broken {
+                    problem: format!("{}: no answer within {timeout:?}", self.to),
+                })
+            })
+    }
+}
