Count accepted orders from reports alone, not from the list of targets

Cause: Sequence in a target's entry counts its heartbeats. Orders named it as the number of accepted orders, so that 29 of 62 were declined and the layout was laid out twice.

--- a/crates/coriandercove_router/src/fleet.rs
+++ b/crates/coriandercove_router/src/fleet.rs
@@ -60,8 +60,6 @@
     pub accelerator: Arc<str>,
     /// Layers that it holds, if any.
     pub layers: Option<LayerRange>,
-    /// Orders that it has accepted in this incarnation.
-    pub order_sequence: u64,
 }
 
 /// All listed targets, sorted by id.
--- a/crates/coriandercove_router/src/placer/placements.rs
+++ b/crates/coriandercove_router/src/placer/placements.rs
@@ -44,6 +44,7 @@
     ordered: Option<(LayerRange, Time)>,
     last_order: Option<Time>,
     last_poll: Time,
+    /// Orders that the target has accepted in this incarnation.
     sequence: u64,
     slowness: f64,
     reported: Time,
@@ -57,7 +58,7 @@
             ordered: None,
             last_order: None,
             last_poll: Time::ZERO,
-            sequence: target.order_sequence,
+            sequence: 0,
             slowness: 1.0,
             reported: Time::ZERO,
         }
@@ -110,17 +111,16 @@
         self.get(target).map_or(1.0, |k| k.slowness)
     }
 
-    /// Orders that the target has accepted, as far as is known.
+    /// Orders that the target has accepted, as far as is known; none since its start if no report
+    /// said otherwise.
     #[must_use]
     pub fn sequence(&self, target: &Target) -> u64 {
-        self.get(target)
-            .map_or(target.order_sequence, |k| k.sequence)
+        self.get(target).map_or(0, |k| k.sequence)
     }
 
     /// Takes the platform's entry of a target in.
     pub fn on_listed(&mut self, target: &Arc<Target>) {
         let known = self.entry(target);
-        known.sequence = known.sequence.max(target.order_sequence);
         if known.loaded.is_some() && known.loaded == target.layers {
             known.loaded = None;
         }
