List again after a failed watch, and when a peer knows a later change

Ruled out: a lost list (none was made) and a stale read. Change: a follower lists after each failure; entries tell each other the last change they saw, and list when a peer has been ahead for 0.8 s.

--- a/crates/coriandercove_router/src/dialect.rs
+++ b/crates/coriandercove_router/src/dialect.rs
@@ -195,6 +195,8 @@
 pub struct Batch {
     /// Store revision that the objects reflect.
     pub revision: u64,
+    /// Highest revision of a change among the objects; 0 if there is none.
+    pub last_change: u64,
     /// All objects, or those that changed.
     pub items: Vec<Item>,
 }
--- /dev/null
+++ b/crates/coriandercove_router/src/heard.rs
@@ -0,0 +1,101 @@
+//! How far the peers have followed the platform's objects.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use coriandercove_base::data;
+
+use crate::dialect::Topic;
+
+/// Time that a watch has to deliver what a peer already knows; watches of different entries hear
+/// of one change within some hundred milliseconds.
+const TOLERANCE: Duration = Duration::from_millis(800);
+
+data! {
+    /// Store revisions up to which an entry knows each topic.
+    #[derive(Copy, Default)]
+    pub struct Revisions {
+        /// Of the configuration.
+        pub configuration: u64,
+        /// Of the targets.
+        pub targets: u64,
+    }
+}
+
+impl Revisions {
+    fn of(self, topic: Topic) -> u64 {
+        match topic {
+            Topic::Configuration => self.configuration,
+            Topic::Targets => self.targets,
+        }
+    }
+
+    fn raise(&mut self, topic: Topic, revision: u64) {
+        let value = match topic {
+            Topic::Configuration => &mut self.configuration,
+            Topic::Targets => &mut self.targets,
+        };
+        *value = revision.max(*value);
+    }
+}
+
+/// Revisions that this entry and its peers know.
+#[derive(Debug, Default)]
+pub struct Heard {
+    /// Revisions that this entry's knowledge reflects.
+    known: Cell<Revisions>,
+    /// Revisions of the last change that this entry saw in each topic. They are told to the peers:
+    /// the store's revision also rises by changes elsewhere.
+    changes: Cell<Revisions>,
+    /// Highest changes that some peer saw.
+    peers: Cell<Revisions>,
+    changed: Notify,
+}
+
+impl Heard {
+    /// Notes that this entry's knowledge of a topic reflects `revision`, the last change in it being
+    /// `change`.
+    pub fn reached(&self, topic: Topic, revision: u64, change: u64) {
+        for (cell, value) in [(&self.known, revision), (&self.changes, change)] {
+            let mut revisions = cell.get();
+            revisions.raise(topic, value);
+            cell.set(revisions);
+        }
+    }
+
+    /// Last changes that this entry saw.
+    #[must_use]
+    pub fn changes(&self) -> Revisions {
+        self.changes.get()
+    }
+
+    /// Takes the last changes that a peer saw in.
+    pub fn on_peer(&self, revisions: Revisions) {
+        let mut peers = self.peers.get();
+        for topic in [Topic::Configuration, Topic::Targets] {
+            peers.raise(topic, revisions.of(topic));
+        }
+        if peers != self.peers.get() {
+            self.peers.set(peers);
+            self.changed.notify_waiters();
+        }
+    }
+
+    fn is_ahead(&self, topic: Topic) -> bool {
+        self.peers.get().of(topic) > self.known.get().of(topic)
+    }
+
+    /// Returns once some peer has been ahead for longer than a watch may take.
+    pub async fn is_behind(&self, topic: Topic) {
+        loop {
+            let changed = self.changed.notified();
+            if self.is_ahead(topic) {
+                tokio::time::sleep(TOLERANCE).await;
+                return;
+            }
+            changed.await;
+        }
+    }
+}
--- a/crates/coriandercove_router/src/layout.rs
+++ b/crates/coriandercove_router/src/layout.rs
@@ -81,7 +81,7 @@
     }
     let mut out = Vec::new();
     if holders.iter().all(|h| h.layers.is_none()) {
-        free = lay_out(engine, free, tokens, &mut out);
+        free = lay_out(engine, &free, tokens, &mut out);
     }
     fill(engine, holders, &free, tokens, &mut out);
     out
@@ -90,7 +90,7 @@
 /// Lays out whole chains: first within zones, then over zones. Returns the targets left over.
 fn lay_out<'a>(
     engine: &EngineModel,
-    free: Vec<&'a Holder>,
+    free: &[&'a Holder],
     tokens: f64,
     out: &mut Vec<Assignment>,
 ) -> Vec<&'a Holder> {
--- a/crates/coriandercove_router/src/lib.rs
+++ b/crates/coriandercove_router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod events;
 pub mod fleet;
 pub mod front;
+pub mod heard;
 pub mod layout;
 pub mod load;
 pub mod path;
--- a/crates/coriandercove_router/src/peers.rs
+++ b/crates/coriandercove_router/src/peers.rs
@@ -11,6 +11,7 @@
 use coriandercove_base::timer::{Subscription, TimerService};
 use coriandercove_base::{NodeId, SortedMap, Time, data};
 
+use crate::heard::Revisions;
 use crate::load::{DIGEST_LIFETIME, Digest};
 use crate::placer::Placement;
 use crate::state::Router;
@@ -35,6 +36,8 @@
         is_ready: bool,
         digest: Digest,
         placements: Vec<Placement>,
+        /// Last changes seen in each topic.
+        revisions: Revisions,
         peers: Vec<SocketAddr>,
     }
 }
@@ -62,7 +65,6 @@
 
 impl Peers {
     /// Starts sending and receiving; sending ends when the subscription is dropped.
-    #[must_use]
     pub fn start(
         router: Rc<Router>,
         socket: UdpSocket,
@@ -128,6 +130,7 @@
             is_ready: self.router.is_ready(),
             digest,
             placements: self.router.placements.borrow().for_peers(),
+            revisions: self.router.heard.changes(),
             peers: to.clone(),
         };
         let bytes = match postcard::to_allocvec(&datagram) {
@@ -191,6 +194,7 @@
             is_ready: datagram.is_ready,
         };
         self.peers.borrow_mut().insert(datagram.node.clone(), peer);
+        self.router.heard.on_peer(datagram.revisions);
         self.learn_addresses(&datagram.peers, from, now);
         self.learn_placements(&datagram.placements, now);
         self.router
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -120,7 +120,7 @@
             .placements
             .borrow()
             .is_settled(now, SETTLED, SETTLE_AT_MOST);
-        if !(is_first && !settled) {
+        if !is_first || settled {
             for assignment in layout::plan(engine, &holders) {
                 if let Some(t) = targets.iter().find(|t| t.id == assignment.id) {
                     self.order(t, assignment.layers, now);
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -14,6 +14,7 @@
 use crate::dialect::Dialect;
 use crate::events::RouterMetrics;
 use crate::fleet::{Fleet, LayerRange, Target};
+use crate::heard::Heard;
 use crate::layout;
 use crate::load::{Load, Work};
 use crate::path::{Candidate, Demand, Hop, NoPath, Path, choose};
@@ -42,6 +43,8 @@
     pub suspects: RefCell<Suspects>,
     /// Orders given and layers reported since the platform's last list.
     pub placements: RefCell<Placements>,
+    /// How far the peers have followed the platform.
+    pub heard: Heard,
     /// Repeats.
     pub budget: RefCell<RetryBudget>,
     /// Source of random choices.
@@ -69,6 +72,7 @@
             load: RefCell::default(),
             suspects: RefCell::default(),
             placements: RefCell::default(),
+            heard: Heard::default(),
             budget: RefCell::new(budget),
             rng: RefCell::new(rng),
             is_leaving: Cell::new(false),
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -10,6 +10,7 @@
 use coriandercove_base::Time;
 
 use crate::dialect::{Batch, Directory, DirectoryError, Item, Topic};
+use crate::fleet::Target;
 use crate::state::Router;
 
 /// Time that a watch waits for a change. A silent connection is noticed after it; the bound on
@@ -31,6 +32,7 @@
         directory,
         topic,
         revision: None,
+        newest: 0,
         failed_since: None,
         regained: None,
         failures: 0,
@@ -47,6 +49,8 @@
     topic: Topic,
     /// Revision up to which changes are known.
     revision: Option<u64>,
+    /// Newest revision that was ever reflected.
+    newest: u64,
     failed_since: Option<Time>,
     regained: Option<Time>,
     failures: u32,
@@ -65,7 +69,15 @@
                 } else {
                     BATCH_PAUSE
                 };
-                self.directory.changes(self.topic, after, wait).await
+                tokio::select! {
+                    result = self.directory.changes(self.topic, after, wait) => result,
+                    () = self.router.heard.is_behind(self.topic) => {
+                        info!(self.router.log, "a peer is ahead, listing again";
+                            "topic" => self.topic.as_str(), "revision" => after);
+                        self.revision = None;
+                        return;
+                    }
+                }
             }
         };
         match result {
@@ -85,6 +97,9 @@
             }
             Err(e) => {
                 self.on_error(&e);
+                // A watch that is renewed after a disturbance may hear nothing of what changed
+                // meanwhile; a list holds it.
+                self.revision = None;
                 tokio::time::sleep(self.pause()).await;
             }
         }
@@ -121,12 +136,16 @@
     }
 
     fn apply(&mut self, batch: Batch, is_whole: bool) {
-        if self.revision.is_some_and(|known| batch.revision < known) {
+        if batch.revision < self.newest {
             // An older state than the one known: nothing may go back.
             warn!(self.router.log, "stale answer dropped"; "topic" => self.topic.as_str(),
-                "revision" => batch.revision, "known" => self.revision);
+                "revision" => batch.revision, "known" => self.newest);
             return;
         }
+        self.newest = batch.revision;
+        self.router
+            .heard
+            .reached(self.topic, batch.revision, batch.last_change);
         if is_whole && self.topic == Topic::Targets {
             self.remove_missing(&batch);
         }
@@ -143,7 +162,7 @@
             Item::Configuration(cfg) => self.router.apply(cfg),
             Item::Target(target) => {
                 self.lapsed.retain(|(name, _)| *name != target.id);
-                self.insert(target);
+                self.insert(&target);
             }
             Item::Unreadable { name, problem } => {
                 self.router.metrics.unreadable(self.topic.as_str());
@@ -161,8 +180,8 @@
         }
     }
 
-    fn insert(&mut self, target: Arc<crate::fleet::Target>) {
-        let old = self.router.fleet.borrow_mut().insert(Arc::clone(&target));
+    fn insert(&mut self, target: &Arc<Target>) {
+        let old = self.router.fleet.borrow_mut().insert(Arc::clone(target));
         let is_news = old.as_ref().is_none_or(|o| {
             o.is_draining != target.is_draining
                 || o.started_ms != target.started_ms
@@ -175,7 +194,7 @@
                 "started_ms" => target.started_ms, "accelerator" => &*target.accelerator,
                 "layers" => target.layers.map(|l| format!("{}-{}", l.first, l.end)));
         }
-        self.router.placements.borrow_mut().on_listed(&target);
+        self.router.placements.borrow_mut().on_listed(target);
     }
 
     fn remove_missing(&mut self, batch: &Batch) {
