Count transfers between zones when choosing a path, and lay layers out by room

Ruled out: reservations that exceed what engines use (reserved is 1.1 of used), slow decoding (50 to 110 ms for an event). Change: coverage is counted in tokens of room for each layer; one target at a time moves to thin layers, a slow one first; paths pay for a change of zones by the prompts under way on that link; layers told by peers are hearsay and not passed on; what the platform listed meanwhile goes before a late report.

--- a/crates/coriandercove_router/src/fleet.rs
+++ b/crates/coriandercove_router/src/fleet.rs
@@ -4,17 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriandercove_base::{Layer, TargetId, ZoneId};
+use coriandercove_base::{Layer, TargetId, ZoneId, data};
 
 use crate::routes::ServiceId;
 
-/// A half-open range of layers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct LayerRange {
-    /// First layer.
-    pub first: Layer,
-    /// Layer after the last one.
-    pub end: Layer,
+data! {
+    /// A half-open range of layers.
+    #[derive(Copy, Eq, PartialOrd, Ord, Hash)]
+    pub struct LayerRange {
+        /// First layer.
+        pub first: Layer,
+        /// Layer after the last one.
+        pub end: Layer,
+    }
 }
 
 impl LayerRange {
@@ -37,6 +39,12 @@
     }
 }
 
+impl std::fmt::Display for LayerRange {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}-{}", self.first, self.end)
+    }
+}
+
 /// One target as the platform lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Target {
--- a/crates/coriandercove_router/src/layout.rs
+++ b/crates/coriandercove_router/src/layout.rs
@@ -1,8 +1,8 @@
 //! Divides the layers of a model among targets with different accelerators.
 //!
 //! Answers two load patterns. At the start, the whole fleet is empty and every chain is laid out at
-//! once. After losses, the targets that are left or new take the layers that are served thinnest,
-//! and targets that serve keep what they hold, so that no load takes capacity away.
+//! once. After losses, new targets take the layers with the least room, and where that is not
+//! enough, one target at a time moves from layers with much room.
 
 use std::sync::Arc;
 
@@ -162,7 +162,77 @@
     }
 }
 
-/// Gives each free target the range with the least capacity, the thinnest layer first.
+/// Room for requests at each layer, in tokens.
+///
+/// A request reserves its tokens at every layer, and a path may change targets at any layer, so
+/// the layer with the least room limits what all chains carry together.
+struct Coverage(Vec<f64>);
+
+impl Coverage {
+    fn of(engine: &EngineModel, holders: &[Holder], tokens: f64) -> Self {
+        let mut coverage = Self(vec![0.0; usize::from(engine.layers)]);
+        for h in holders {
+            if let Some(range) = h.layers {
+                coverage.add(range, room(engine, &h.accelerator, range.len(), tokens));
+            }
+        }
+        coverage
+    }
+
+    fn add(&mut self, range: LayerRange, tokens: f64) {
+        let end = usize::from(range.end).min(self.0.len());
+        let start = usize::from(range.first).min(end);
+        for c in &mut self.0[start..end] {
+            *c += tokens;
+        }
+    }
+
+    /// Grows steeply with the layers of little room; `unit` is the room of one chain.
+    fn scarcity(&self, unit: f64) -> f64 {
+        self.0
+            .iter()
+            .map(|tokens| (tokens / unit + EMPTY_ROOM).powi(-3))
+            .sum()
+    }
+
+    /// The window of `size` layers to which `tokens` of room help most; at about equal gain the one
+    /// that begins where another range of the zone ends, so that paths stay inside the zone.
+    fn best_window(&self, size: u16, tokens: f64, unit: f64, boundaries: &[u16]) -> LayerRange {
+        let layers = self.0.len() as u16;
+        let size = size.min(layers);
+        let gain = |c: &f64| {
+            let before = (c / unit + EMPTY_ROOM).powi(-3);
+            before - ((c + tokens) / unit + EMPTY_ROOM).powi(-3)
+        };
+        let mut best = (f64::NEG_INFINITY, 0);
+        for first in 0..=(layers - size) {
+            let window = &self.0[usize::from(first)..usize::from(first + size)];
+            let is_aligned = boundaries.binary_search(&first).is_ok();
+            let preference = if is_aligned { 1.0 + ALIGNMENT } else { 1.0 };
+            let total = window.iter().map(gain).sum::<f64>() * preference;
+            if total > best.0 {
+                best = (total, first);
+            }
+        }
+        LayerRange::new(best.1, best.1 + size)
+    }
+}
+
+/// Room that a layer without a target counts as having, in chains; keeps the scarcity finite.
+const EMPTY_ROOM: f64 = 0.05;
+/// Preference for a window that begins where another range of the zone ends.
+const ALIGNMENT: f64 = 0.05;
+/// Share by which a move must lower the scarcity to be worth the load and the pause.
+const MOVE_GAIN: f64 = 0.05;
+
+/// Tokens of requests that fit beside `layers` layers, up to those of one chain: what is beyond
+/// helps no chain, because the other parts of its path have no more.
+fn room(engine: &EngineModel, accelerator: &Accelerator, layers: u16, chain: f64) -> f64 {
+    let fit = kv_capacity(engine, accelerator, layers) as f64 / f64::from(layers.max(1));
+    fit.min(chain)
+}
+
+/// Gives each free target the range to which it helps most.
 fn fill(
     engine: &EngineModel,
     holders: &[Holder],
@@ -170,21 +240,18 @@
     tokens: f64,
     out: &mut Vec<Assignment>,
 ) {
-    let mut capacity = vec![0.0; usize::from(engine.layers)];
-    for h in holders {
-        if let Some(range) = h.layers {
-            add_capacity(&mut capacity, &h.accelerator, range);
-        }
-    }
+    let mut coverage = Coverage::of(engine, holders, tokens);
     for a in out.iter() {
         if let Some(h) = holders.iter().find(|h| h.id == a.id) {
-            add_capacity(&mut capacity, &h.accelerator, a.layers);
+            coverage.add(a.layers, room(engine, &h.accelerator, a.layers.len(), tokens));
         }
     }
     for h in free {
         let size = layers_for(engine, &h.accelerator, tokens);
-        let layers = thinnest(&capacity, size, h, holders, out);
-        add_capacity(&mut capacity, &h.accelerator, layers);
+        let room = room(engine, &h.accelerator, size, tokens);
+        let boundaries = zone_boundaries(h, holders, out);
+        let layers = coverage.best_window(size, room, tokens, &boundaries);
+        coverage.add(layers, room);
         out.push(Assignment {
             id: h.id.clone(),
             layers,
@@ -192,44 +259,42 @@
     }
 }
 
-fn add_capacity(capacity: &mut [f64], accelerator: &Accelerator, range: LayerRange) {
-    let end = usize::from(range.end).min(capacity.len());
-    let start = usize::from(range.first).min(end);
-    for c in &mut capacity[start..end] {
-        *c += 1.0 / accelerator.decode_factor;
-    }
-}
-
-/// The window of `size` layers that covers the thinnest layers; at equal gain the one that begins
-/// where another range of the zone ends, so that paths stay inside the zone.
-fn thinnest(
-    capacity: &[f64],
-    size: u16,
-    holder: &Holder,
-    holders: &[Holder],
-    out: &[Assignment],
-) -> LayerRange {
-    let layers = capacity.len() as u16;
-    let size = size.min(layers);
-    let least = capacity.iter().copied().fold(f64::INFINITY, f64::min);
-    let ends = zone_boundaries(holder, holders, out);
-    let mut best = (f64::NEG_INFINITY, 0);
-    for first in 0..=(layers - size) {
-        let window = &capacity[usize::from(first)..usize::from(first + size)];
-        // Layers near the minimum count most.
-        let need: f64 = window.iter().map(|c| 1.0 / (0.05 + c - least)).sum();
-        let aligned = ends.binary_search(&first).is_ok();
-        let gain = need * if aligned { 1.0 + ALIGNMENT } else { 1.0 };
-        if gain > best.0 {
-            best = (gain, first);
+/// The one move of a target that helps most where layers have lost their targets, if it is worth
+/// its load.
+#[must_use]
+pub fn rebalance(engine: &EngineModel, holders: &[Holder]) -> Option<Assignment> {
+    let tokens = STREAMS_PER_CHAIN * (engine.usual_prompt + engine.usual_answer);
+    let mut coverage = Coverage::of(engine, holders, tokens);
+    let now = coverage.scarcity(tokens);
+    let mut best: Option<((f64, f64), Assignment)> = None;
+    for h in holders {
+        let Some(held) = h.layers else {
+            // A target that waits for its first layers may fill the gap.
+            return None;
+        };
+        let held_room = room(engine, &h.accelerator, held.len(), tokens);
+        let size = layers_for(engine, &h.accelerator, tokens);
+        let new_room = room(engine, &h.accelerator, size, tokens);
+        coverage.add(held, -held_room);
+        let boundaries = zone_boundaries(h, holders, &[]);
+        let layers = coverage.best_window(size, new_room, tokens, &boundaries);
+        coverage.add(layers, new_room);
+        let after = coverage.scarcity(tokens);
+        coverage.add(layers, -new_room);
+        coverage.add(held, held_room);
+        if after >= now * (1.0 - MOVE_GAIN) {
+            continue;
+        }
+        // A slow target leaves the fast chains whole; among equals the best move counts.
+        let rank = (-h.accelerator.decode_factor, after);
+        if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+            let id = h.id.clone();
+            best = Some((rank, Assignment { id, layers }));
         }
     }
-    LayerRange::new(best.1, best.1 + size)
+    best.map(|(_, assignment)| assignment)
 }
 
-/// Preference for a window that begins where another range of the zone ends.
-const ALIGNMENT: f64 = 0.02;
-
 fn zone_boundaries(holder: &Holder, holders: &[Holder], out: &[Assignment]) -> Vec<u16> {
     let mut ends = vec![0];
     for h in holders.iter().filter(|h| h.zone == holder.zone) {
--- a/crates/coriandercove_router/src/layout/tests.rs
+++ b/crates/coriandercove_router/src/layout/tests.rs
@@ -1,1 +1,109 @@
-//! Tests.
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use super::*;
+
+/// The engines of the users' sites.
+pub(crate) fn engine() -> EngineModel {
+    let card = |kind: &str, memory_mb, decode_factor, prefill_factor| Accelerator {
+        kind: Arc::from(kind),
+        memory_mb,
+        decode_factor,
+        prefill_factor,
+    };
+    EngineModel {
+        layers: 80,
+        layer_mb: 1750.0,
+        kv_token_bytes: 918_000.0,
+        step: Duration::from_micros(1020),
+        step_per_sequence_ms: 0.00714,
+        step_per_context_ms: 0.00956,
+        prefill_per_ms: 105.0,
+        usual_prompt: 774.0,
+        usual_answer: 204.0,
+        activation_bytes: 45_900.0,
+        zone_link_mbps: 22_000.0,
+        slots: 192,
+        zone_delays: Vec::new(),
+        accelerators: vec![
+            card("a100", 72_000.0, 2.4, 3.2),
+            card("l4", 21_600.0, 16.0, 8.2),
+            card("l40s", 43_200.0, 5.6, 2.7),
+        ],
+    }
+}
+
+/// Empty targets of one site: accelerators by zone.
+pub(crate) fn fleet(zones: &[(&str, &[(&str, usize)])]) -> Vec<Holder> {
+    let engine = engine();
+    let mut out = Vec::new();
+    for (zone, cards) in zones {
+        for (kind, count) in *cards {
+            for n in 0..*count {
+                out.push(Holder {
+                    id: Arc::from(format!("{zone}-{kind}-{n}")),
+                    zone: Arc::from(*zone),
+                    accelerator: engine.accelerator(kind).unwrap().clone(),
+                    layers: None,
+                });
+            }
+        }
+    }
+    out
+}
+
+fn site() -> Vec<Holder> {
+    fleet(&[
+        ("a", &[("a100", 2), ("l40s", 2), ("l4", 5)]),
+        ("b", &[("a100", 1), ("l40s", 3), ("l4", 8)]),
+        ("c", &[("a100", 1), ("l40s", 6), ("l4", 5)]),
+    ])
+}
+
+/// Carries assignments out.
+fn carry_out(holders: &mut [Holder], assignments: &[Assignment]) {
+    for a in assignments {
+        let holder = holders.iter_mut().find(|h| h.id == a.id).unwrap();
+        holder.layers = Some(a.layers);
+    }
+}
+
+fn copies(holders: &[Holder], layer: u16) -> usize {
+    let held = holders.iter().filter_map(|h| h.layers);
+    held.filter(|l| l.first <= layer && layer < l.end).count()
+}
+
+fn fewest_copies(holders: &[Holder]) -> usize {
+    (0..80).map(|l| copies(holders, l)).min().unwrap()
+}
+
+/// Guards against a first layout that leaves layers thin or exceeds a target's memory.
+#[gtest]
+fn the_first_layout_covers_every_layer_five_times() {
+    let engine = engine();
+    let mut holders = site();
+    let assignments = plan(&engine, &holders);
+    carry_out(&mut holders, &assignments);
+    expect_that!(assignments.len(), eq(33));
+    expect_that!(fewest_copies(&holders), ge(5));
+    for h in &holders {
+        let layers = h.layers.unwrap();
+        expect_that!(layers.end, le(80));
+        expect_that!(
+            f64::from(layers.len()) * engine.layer_mb,
+            lt(h.accelerator.memory_mb)
+        );
+    }
+}
+
+/// Guards against moves that take capacity away where nothing was lost.
+#[gtest]
+fn a_whole_layout_is_left_alone() {
+    let engine = engine();
+    let mut holders = site();
+    let assignments = plan(&engine, &holders);
+    carry_out(&mut holders, &assignments);
+    expect_that!(rebalance(&engine, &holders), none());
+}
--- a/crates/coriandercove_router/src/load.rs
+++ b/crates/coriandercove_router/src/load.rs
@@ -6,11 +6,24 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use coriandercove_base::{NodeId, SortedMap, Time, data};
+use coriandercove_base::{NodeId, SortedMap, Time, ZoneId, data};
 
 /// A peer's digest counts for this long, so that a dead peer's work is forgotten.
 pub const DIGEST_LIFETIME: Duration = Duration::from_millis(1500);
 
+/// Two availability zones, in the order of their names.
+pub type ZonePair = (ZoneId, ZoneId);
+
+/// The pair of two zones, whichever way a transfer goes.
+#[must_use]
+pub fn zone_pair(a: &ZoneId, b: &ZoneId) -> ZonePair {
+    if a <= b {
+        (a.clone(), b.clone())
+    } else {
+        (b.clone(), a.clone())
+    }
+}
+
 data! {
     /// Work in flight at one target.
     #[derive(Copy, Default)]
@@ -30,6 +43,8 @@
     pub struct Digest {
         /// Work by target address.
         pub work: Vec<(SocketAddr, Work)>,
+        /// Prompt tokens, of requests without an event so far, that cross from one zone to another.
+        pub links: Vec<(ZonePair, u64)>,
     }
 }
 
@@ -59,10 +74,12 @@
 #[derive(Debug, Default)]
 pub struct Load {
     own: SortedMap<SocketAddr, Work>,
+    own_links: SortedMap<ZonePair, u64>,
     /// Each peer's last digest with the time of its arrival.
     peers: SortedMap<NodeId, (Time, Digest)>,
     /// Sum over the peers, kept up to date by [`Load::on_digest`] and [`Load::expire`].
     others: SortedMap<SocketAddr, Work>,
+    other_links: SortedMap<ZonePair, u64>,
 }
 
 impl Load {
@@ -83,6 +100,28 @@
         }
     }
 
+    /// Adds prompt tokens that cross between two zones.
+    pub fn begin_transfer(&mut self, link: ZonePair, tokens: u64) {
+        *self.own_links.get_or_insert_with(link, || 0) += tokens;
+    }
+
+    /// Removes prompt tokens that were added before.
+    pub fn end_transfer(&mut self, link: &ZonePair, tokens: u64) {
+        if let Some(own) = self.own_links.get_mut(link) {
+            *own = own.saturating_sub(tokens);
+            if *own == 0 {
+                self.own_links.remove(link);
+            }
+        }
+    }
+
+    /// Prompt tokens of all entries that cross between two zones now.
+    #[must_use]
+    pub fn transfers(&self, link: &ZonePair) -> u64 {
+        let own = self.own_links.get(link).copied().unwrap_or(0);
+        own + self.other_links.get(link).copied().unwrap_or(0)
+    }
+
     /// Takes a peer's digest in.
     pub fn on_digest(&mut self, from: NodeId, digest: Digest, now: Time) {
         self.peers.insert(from, (now, digest));
@@ -101,14 +140,19 @@
 
     fn sum(&mut self) {
         let mut others = SortedMap::default();
+        let mut links = SortedMap::default();
         for (_, digest) in self.peers.values() {
             for (target, work) in &digest.work {
                 others
                     .get_or_insert_with(*target, Work::default)
                     .add(*work);
             }
+            for (link, tokens) in &digest.links {
+                *links.get_or_insert_with(link.clone(), || 0) += *tokens;
+            }
         }
         self.others = others;
+        self.other_links = links;
     }
 
     /// Work of all entries at a target.
@@ -131,7 +175,11 @@
     #[must_use]
     pub fn digest(&self) -> Digest {
         let work = self.own.iter().map(|(a, w)| (*a, *w)).collect();
-        Digest { work }
+        let links = self.own_links.iter();
+        Digest {
+            work,
+            links: links.map(|(l, t)| (l.clone(), *t)).collect(),
+        }
     }
 
     /// Peers whose digest is recent.
--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -11,15 +11,18 @@
 use coriandercove_base::{TargetId, ZoneId};
 
 use crate::fleet::LayerRange;
-use crate::load::Work;
+use crate::load::{Load, Work, zone_pair};
 use crate::routes::EngineModel;
 
 /// Most parts in one path; the engines' own limit.
 const MAX_PARTS: usize = 32;
 /// Expected overhead of one more part for a token, in ms.
 const PART_OVERHEAD_MS: f64 = 0.2;
-/// Factor on the transfer time between zones, because all transfers of a pair of zones share it.
-const ZONE_LINK_CONTENTION: f64 = 3.0;
+/// Cost of a change of zones beside the time of its transfers, in ms: the memory moved is paid for,
+/// and the link is shared with whatever else uses it.
+const ZONE_CHANGE_MS: f64 = 150.0;
+/// Share of the transfers under way that a token waits for at a link between zones, on average.
+const LINK_WAIT: f64 = 0.5;
 /// Cost of a first part in another zone than the entry's, in ms; events then cross zones.
 const REMOTE_FIRST_PART_MS: f64 = 100.0;
 /// Weight of the squared KV cache occupancy on the decode time, so that a chain fills up last
@@ -66,11 +69,26 @@
     }
 }
 
+/// What the choice is based on.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The engines.
+    pub engine: &'a EngineModel,
+    /// Targets that take new work.
+    pub candidates: &'a [Candidate],
+    /// Work in flight, for the links between zones.
+    pub load: &'a Load,
+    /// Zone of the entry.
+    pub entry_zone: &'a str,
+}
+
 /// One part of a path.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Hop {
     /// The target.
     pub id: TargetId,
+    /// Its availability zone.
+    pub zone: ZoneId,
     /// Where it is called.
     pub address: SocketAddr,
     /// Layers that it runs for the request.
@@ -111,28 +129,20 @@
 ///
 /// # Errors
 /// [`NoPath`] if no path has room.
-pub fn choose(
-    engine: &EngineModel,
-    candidates: &[Candidate],
-    demand: Demand,
-    entry_zone: &str,
-) -> Result<Path, NoPath> {
-    if let Some(path) = search(engine, candidates, demand, entry_zone, true) {
+pub fn choose(view: View<'_>, demand: Demand) -> Result<Path, NoPath> {
+    if let Some(path) = search(view, demand, true) {
         return Ok(path);
     }
-    match search(engine, candidates, demand, entry_zone, false) {
+    match search(view, demand, false) {
         Some(_) => Err(NoPath::Full),
         None => Err(NoPath::Incomplete),
     }
 }
 
-fn search(
-    engine: &EngineModel,
-    candidates: &[Candidate],
-    demand: Demand,
-    entry_zone: &str,
-    needs_room: bool,
-) -> Option<Path> {
+fn search(view: View<'_>, demand: Demand, needs_room: bool) -> Option<Path> {
+    let View {
+        engine, candidates, ..
+    } = view;
     let bounds = boundaries(engine, candidates);
     let mut nodes: Vec<Node> = Vec::new();
     // The best node for each boundary and zone of the last part.
@@ -153,7 +163,7 @@
                 if before.is_some_and(|n| n.candidate == i) {
                     continue;
                 }
-                let link = link_cost(engine, candidates, before, candidate, demand, entry_zone);
+                let link = link_cost(view, before, candidate, demand);
                 for (e, &end) in bounds.iter().enumerate().skip(b + 1) {
                     if end > candidate.layers.end {
                         break;
@@ -234,31 +244,26 @@
 }
 
 /// Expected time on the link into a part, in ms.
-fn link_cost(
-    engine: &EngineModel,
-    candidates: &[Candidate],
-    before: Option<Node>,
-    part: &Candidate,
-    demand: Demand,
-    entry_zone: &str,
-) -> f64 {
+fn link_cost(view: View<'_>, before: Option<Node>, part: &Candidate, demand: Demand) -> f64 {
     let Some(before) = before else {
-        let is_remote = *part.zone != *entry_zone;
+        let is_remote = *part.zone != *view.entry_zone;
         return if is_remote { REMOTE_FIRST_PART_MS } else { 0.0 };
     };
-    let from = &candidates[before.candidate].zone;
+    let from = &view.candidates[before.candidate].zone;
     if *from == part.zone {
         return 0.0;
     }
+    let engine = view.engine;
     let delay = engine
         .zone_delays
         .iter()
         .find(|(a, b, _)| (a == from && *b == part.zone) || (b == from && *a == part.zone))
         .map_or(0.0, |(_, _, d)| d.as_secs_f64() * 1e3);
-    let tokens = f64::from(demand.prompt + demand.answer);
-    let bits = tokens * engine.activation_bytes * 8.0;
-    let transfer = bits / (engine.zone_link_mbps.max(1.0) * 1e3);
-    delay * f64::from(demand.answer) + transfer * ZONE_LINK_CONTENTION
+    let token = engine.activation_bytes * 8.0 / (engine.zone_link_mbps.max(1.0) * 1e3);
+    let under_way = view.load.transfers(&zone_pair(from, &part.zone)) as f64 * token;
+    let answer = f64::from(demand.answer);
+    let per_token = delay + token + under_way * LINK_WAIT;
+    ZONE_CHANGE_MS + under_way + f64::from(demand.prompt) * token + per_token * answer
 }
 
 /// The path that ends with node `end`, unless a target would appear twice or it has too many parts.
@@ -275,6 +280,7 @@
         let part = &candidates[node.candidate];
         hops.push(Hop {
             id: part.id.clone(),
+            zone: part.zone.clone(),
             address: part.address,
             layers: LayerRange::new(node.start, node.end),
         });
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -43,6 +43,10 @@
 /// Time after the first target was seen at which the first layout is made anyway.
 const SETTLE_AT_MOST: Duration = Duration::from_secs(3);
 
+/// Time without a change of the list of targets after which targets are moved: a target that
+/// restarts is back within it and fills its own gap.
+const MOVE_AFTER: Duration = Duration::from_millis(1500);
+
 /// Follows the engines and gives orders when it is this entry's turn.
 pub struct Placer {
     router: Rc<Router>,
@@ -103,6 +107,7 @@
         let holders: Vec<Holder> = targets
             .iter()
             .filter(|t| !t.is_draining)
+            .filter(|t| !self.router.placements.borrow().is_busy(t, now))
             .filter_map(|t| {
                 let accelerator = engine.accelerator(&t.accelerator)?.clone();
                 let planned = self.router.placements.borrow().planned(t, now);
@@ -121,7 +126,12 @@
             .borrow()
             .is_settled(now, SETTLED, SETTLE_AT_MOST);
         if !is_first || settled {
-            for assignment in layout::plan(engine, &holders) {
+            let mut assignments = layout::plan(engine, &holders);
+            let is_idle = !self.router.placements.borrow().has_orders();
+            if assignments.is_empty() && is_idle && self.may_move(now) {
+                assignments.extend(layout::rebalance(engine, &holders));
+            }
+            for assignment in assignments {
                 if let Some(t) = targets.iter().find(|t| t.id == assignment.id) {
                     self.order(t, assignment.layers, now);
                 }
@@ -130,6 +140,14 @@
         self.poll_orders(&targets, now);
     }
 
+    /// Whether the fleet has been as it is for long enough that a move is not undone at once.
+    fn may_move(&self, now: Time) -> bool {
+        self.router
+            .placements
+            .borrow()
+            .is_settled(now, MOVE_AFTER, Duration::MAX)
+    }
+
     /// Sends an order unless the target is excluded or an order was just tried.
     fn order(self: &Rc<Self>, target: &Arc<Target>, layers: LayerRange, now: Time) {
         if !self.router.takes_work(target) {
@@ -165,19 +183,26 @@
         };
         self.router.metrics.order(outcome);
         info!(self.router.log, "order"; "target" => &*target.id, "address" => %target.address,
-            "layers" => format!("{}-{}", layers.first, layers.end),
+            "layers" => layers.to_string(),
             "expected" => order.expected_sequence, "outcome" => outcome,
             "status" => answer.as_ref().ok().map(|a| a.status.as_u16()));
         match outcome {
             // An order without an answer may still be carried out; reports tell.
-            "accepted" | "unanswered" => {}
+            "unanswered" => {}
+            "accepted" => {
+                // 200 says that it holds the layers already, and counts no order.
+                if answer.is_ok_and(|a| a.status.as_u16() == 202) {
+                    let mut placements = self.router.placements.borrow_mut();
+                    placements.on_accepted(target, order.expected_sequence);
+                }
+            }
             "declined" => {
                 // Another order was accepted: the report tells which layers it holds.
                 if let Ok(report) = read_report(&self.router, target.address).await {
                     let now = self.router.now();
                     let mut placements = self.router.placements.borrow_mut();
-                    placements.on_report(target, &report, now);
                     placements.drop_order(target);
+                    placements.on_report(target, &report, now);
                 }
             }
             _ => self.router.placements.borrow_mut().drop_order(target),
@@ -231,7 +256,7 @@
                         .on_report(&target, &report, now);
                     if news {
                         info!(router.log, "engine reports"; "target" => &*target.id,
-                            "layers" => report.layers.map(|l| format!("{}-{}", l.first, l.end)),
+                            "layers" => report.layers.map(|l| l.to_string()),
                             "slowness" => report.slowness, "busy" => report.is_busy,
                             "sequence" => report.order_sequence);
                     }
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -16,8 +16,8 @@
 use crate::fleet::{Fleet, LayerRange, Target};
 use crate::heard::Heard;
 use crate::layout;
-use crate::load::{Load, Work};
-use crate::path::{Candidate, Demand, Hop, NoPath, Path, choose};
+use crate::load::{Load, Work, ZonePair, zone_pair};
+use crate::path::{Candidate, Demand, Hop, NoPath, Path, View, choose};
 use crate::placer::Placements;
 use crate::routes::{Configuration, Service};
 use crate::settings::Settings;
@@ -141,7 +141,7 @@
     /// Layers that a target holds, by the newest knowledge.
     #[must_use]
     pub fn layers(&self, target: &Target) -> Option<LayerRange> {
-        self.placements.borrow().loaded(target).or(target.layers)
+        self.placements.borrow().layers(target)
     }
 
     /// Chooses a path for a model request.
@@ -173,7 +173,13 @@
                 })
             })
             .collect();
-        choose(engine, &candidates, demand, &self.settings.zone)
+        let view = View {
+            engine,
+            candidates: &candidates,
+            load: &load,
+            entry_zone: &self.settings.zone,
+        };
+        choose(view, demand)
     }
 
     /// Chooses the target of a plain service with the fewest requests for its slots, in this zone
@@ -211,6 +217,10 @@
 pub struct InFlight {
     router: Rc<Router>,
     work: Vec<(SocketAddr, Work)>,
+    /// Changes of zones, until the prompt has been read.
+    links: Vec<ZonePair>,
+    /// Prompt tokens that cross each of them.
+    prompt: u64,
 }
 
 impl InFlight {
@@ -227,7 +237,14 @@
             };
             (hop.address, work)
         });
-        Self::begin(router, work.collect())
+        let changes = hops.windows(2).filter(|w| w[0].zone != w[1].zone);
+        let links = changes.map(|w| zone_pair(&w[0].zone, &w[1].zone));
+        Self::begin(
+            router,
+            work.collect(),
+            links.collect(),
+            u64::from(demand.prompt),
+        )
     }
 
     /// Adds the work of a request to a plain service.
@@ -238,18 +255,28 @@
             first_parts: 1,
             ..Work::default()
         };
-        Self::begin(router, vec![(target, work)])
+        Self::begin(router, vec![(target, work)], Vec::new(), 0)
     }
 
-    fn begin(router: &Rc<Router>, work: Vec<(SocketAddr, Work)>) -> Self {
+    fn begin(
+        router: &Rc<Router>,
+        work: Vec<(SocketAddr, Work)>,
+        links: Vec<ZonePair>,
+        prompt: u64,
+    ) -> Self {
         let mut load = router.load.borrow_mut();
         for (target, work) in &work {
             load.begin(*target, *work);
         }
+        for link in &links {
+            load.begin_transfer(link.clone(), prompt);
+        }
         drop(load);
         Self {
             router: Rc::clone(router),
             work,
+            links,
+            prompt,
         }
     }
 
@@ -263,6 +290,9 @@
             };
             load.end(*target, read);
         }
+        for link in std::mem::take(&mut self.links) {
+            load.end_transfer(&link, self.prompt);
+        }
     }
 }
 
@@ -272,5 +302,8 @@
         for (target, work) in &self.work {
             load.end(*target, *work);
         }
+        for link in &self.links {
+            load.end_transfer(link, self.prompt);
+        }
     }
 }
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -192,9 +192,10 @@
             info!(self.router.log, "target"; "id" => &*target.id, "address" => %target.address,
                 "zone" => &*target.zone, "draining" => target.is_draining,
                 "started_ms" => target.started_ms, "accelerator" => &*target.accelerator,
-                "layers" => target.layers.map(|l| format!("{}-{}", l.first, l.end)));
+                "layers" => target.layers.map(|l| l.to_string()));
         }
-        self.router.placements.borrow_mut().on_listed(target);
+        let now = self.router.now();
+        self.router.placements.borrow_mut().on_listed(target, now);
     }
 
     fn remove_missing(&mut self, batch: &Batch) {
