Refuse a model request on arrival when its first event would come too late

Change: the expected time to the first event, transfers between zones included, may be twice the objective.

--- a/crates/coriandercove_router/src/admit.rs
+++ b/crates/coriandercove_router/src/admit.rs
@@ -15,6 +15,8 @@
     NoTarget,
     /// Every path or target is full.
     Full,
+    /// Too many prompts wait for the first event to come in time.
+    Slow,
     /// The deadline has passed or leaves no time.
     Deadline,
     /// The process has too many requests in flight.
@@ -31,6 +33,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoTarget => "no_target",
             Self::Full => "full",
+            Self::Slow => "slow",
             Self::Deadline => "deadline",
             Self::Overloaded => "overloaded",
             Self::NotRun => "not_run",
@@ -47,7 +50,7 @@
     let mean = match reason {
         Refusal::NoConfiguration => Duration::from_secs(1),
         Refusal::NoTarget => Duration::from_millis(1500),
-        Refusal::Full | Refusal::Overloaded | Refusal::NotRun | Refusal::Deadline => {
+        Refusal::Full | Refusal::Slow | Refusal::Overloaded | Refusal::NotRun | Refusal::Deadline => {
             usual_service_time.max(MIN_RETRY_AFTER)
         }
     };
--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -80,6 +80,8 @@
     pub load: &'a Load,
     /// Zone of the entry.
     pub entry_zone: &'a str,
+    /// Longest expected time to the first event.
+    pub first_event_limit: Duration,
 }
 
 /// One part of a path.
@@ -113,6 +115,8 @@
     Incomplete,
     /// All layers are held, but some part has no room on every path.
     Full,
+    /// There is room, but so many prompts wait that the first event would come too late.
+    Slow,
 }
 
 #[derive(Clone, Copy)]
@@ -130,11 +134,10 @@
 /// # Errors
 /// [`NoPath`] if no path has room.
 pub fn choose(view: View<'_>, demand: Demand) -> Result<Path, NoPath> {
-    if let Some(path) = search(view, demand, true) {
-        return Ok(path);
-    }
-    match search(view, demand, false) {
-        Some(_) => Err(NoPath::Full),
+    match search(view, demand, true) {
+        Some(path) if path.first_event <= view.first_event_limit => Ok(path),
+        Some(_) => Err(NoPath::Slow),
+        None if search(view, demand, false).is_some() => Err(NoPath::Full),
         None => Err(NoPath::Incomplete),
     }
 }
@@ -163,7 +166,7 @@
                 if before.is_some_and(|n| n.candidate == i) {
                     continue;
                 }
-                let link = link_cost(view, before, candidate, demand);
+                let (link, wait) = link_cost(view, before, candidate, demand);
                 for (e, &end) in bounds.iter().enumerate().skip(b + 1) {
                     if end > candidate.layers.end {
                         break;
@@ -174,7 +177,7 @@
                     let (read, decode) = part_cost(engine, candidate, demand, end - at);
                     let node = Node {
                         cost: before.map_or(0.0, |n| n.cost) + link + read + decode,
-                        first_event: before.map_or(0.0, |n| n.first_event) + read,
+                        first_event: before.map_or(0.0, |n| n.first_event) + wait + read,
                         candidate: i,
                         start: at,
                         end,
@@ -243,15 +246,21 @@
     (read, token * f64::from(demand.answer))
 }
 
-/// Expected time on the link into a part, in ms.
-fn link_cost(view: View<'_>, before: Option<Node>, part: &Candidate, demand: Demand) -> f64 {
+/// Cost of the link into a part, and the part of it that delays the first event, in ms.
+fn link_cost(
+    view: View<'_>,
+    before: Option<Node>,
+    part: &Candidate,
+    demand: Demand,
+) -> (f64, f64) {
     let Some(before) = before else {
         let is_remote = *part.zone != *view.entry_zone;
-        return if is_remote { REMOTE_FIRST_PART_MS } else { 0.0 };
+        let cost = if is_remote { REMOTE_FIRST_PART_MS } else { 0.0 };
+        return (cost, 0.0);
     };
     let from = &view.candidates[before.candidate].zone;
     if *from == part.zone {
-        return 0.0;
+        return (0.0, 0.0);
     }
     let engine = view.engine;
     let delay = engine
@@ -263,7 +272,8 @@
     let under_way = view.load.transfers(&zone_pair(from, &part.zone)) as f64 * token;
     let answer = f64::from(demand.answer);
     let per_token = delay + token + under_way * LINK_WAIT;
-    ZONE_CHANGE_MS + under_way + f64::from(demand.prompt) * token + per_token * answer
+    let wait = under_way + f64::from(demand.prompt) * token + delay;
+    (ZONE_CHANGE_MS + wait + per_token * answer, wait)
 }
 
 /// The path that ends with node `end`, unless a target would appear twice or it has too many parts.
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -32,6 +32,9 @@
 const MAX_WHOLE_ANSWER: usize = 8 * 1024 * 1024;
 /// Time of a plain call that is taken as usual for the advice to come back.
 const USUAL_CALL: Duration = Duration::from_millis(200);
+/// Factor on the objective that the expected time to the first event may reach. The expectation
+/// counts a waiting prompt at each part of its path at once, so it is about twice what happens.
+const FIRST_EVENT_FACTOR: u32 = 2;
 /// Requests at one target of a plain service, for each of its slots, beyond which more would miss
 /// their objective; a third waits for the second round.
 const REQUESTS_PER_SLOT: u32 = 3;
@@ -287,7 +290,7 @@
         };
         let is_refusal = matches!(
             failed.reason,
-            Refusal::Full | Refusal::NoTarget | Refusal::Deadline
+            Refusal::Full | Refusal::Slow | Refusal::NoTarget | Refusal::Deadline
         );
         let next = if is_refusal && failed.failure == Failure::NotSent {
             Next::Stop(job.attempts.outcome())
@@ -362,6 +365,15 @@
             .on_failure(failure, now, deadline, || router.take_repeat())
     }
 
+    /// A stream that has begun goes on even if that takes longer than its objective.
+    fn first_event_limit(&self) -> Duration {
+        if self.attempts.sent == 0 {
+            self.route.objective * FIRST_EVENT_FACTOR
+        } else {
+            self.deadline.saturating_sub(self.now())
+        }
+    }
+
     fn demand(&self) -> Option<Demand> {
         let size = self.head.size?;
         let usual = self
@@ -488,9 +500,10 @@
         {
             let path = self
                 .router
-                .choose_path(&self.service, demand)
+                .choose_path(&self.service, demand, self.first_event_limit())
                 .map_err(|e| not_sent(match e {
                     NoPath::Full => Refusal::Full,
+                    NoPath::Slow => Refusal::Slow,
                     NoPath::Incomplete => Refusal::NoTarget,
                 }))?;
             let in_flight = InFlight::over_path(&self.router, &path.hops, demand);
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use slog::{Logger, info, warn};
 
@@ -59,7 +60,7 @@
     /// A router that knows nothing yet.
     #[must_use]
     pub fn new(settings: Settings, dialect: Rc<dyn Dialect>, log: Logger, rng: Rng) -> Self {
-        let window = std::time::Duration::from_secs_f64(settings.retry_window_seconds);
+        let window = Duration::from_secs_f64(settings.retry_window_seconds);
         let budget = RetryBudget::new(settings.retry_ratio, settings.retry_slack, window);
         Self {
             settings,
@@ -148,7 +149,12 @@
     ///
     /// # Errors
     /// [`NoPath`] if no path has room.
-    pub fn choose_path(&self, service: &Service, demand: Demand) -> Result<Path, NoPath> {
+    pub fn choose_path(
+        &self,
+        service: &Service,
+        demand: Demand,
+        first_event_limit: Duration,
+    ) -> Result<Path, NoPath> {
         let Some(engine) = &service.engine else {
             return Err(NoPath::Incomplete);
         };
@@ -178,6 +184,7 @@
             candidates: &candidates,
             load: &load,
             entry_zone: &self.settings.zone,
+            first_event_limit,
         };
         choose(view, demand)
     }
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -17,7 +17,7 @@
 /// configuration leaves no more while the number of calls is priced.
 const WATCH: Duration = Duration::from_secs(5);
 /// Pause between watches, so that changes in series take one call.
-const BATCH_PAUSE: Duration = Duration::from_millis(250);
+const BATCH_PAUSE: Duration = Duration::from_millis(500);
 /// First and longest pause after a failed call.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 /// Time after the platform's return in which entries that lapsed meanwhile come back.
