Leave a silent stream only when a part of its path is lost and another path is ready

Change: after 0.4 s the parts are asked whether they are alive; the stream moves only if one does not answer, and the old attempt ends once the new one has begun. Attempts at targets that are lost do not count against the limit of attempts. Also: the room that a chain is laid out for follows the fleet (five copies, chains in zones).

--- a/crates/coriandercove_router/src/attempt.rs
+++ b/crates/coriandercove_router/src/attempt.rs
@@ -15,6 +15,8 @@
     NotRun,
     /// The request may have run.
     Unknown,
+    /// The request may have run at a target that has ended or is cut off.
+    TargetLost,
 }
 
 /// What the caller is told if no further attempt is made.
@@ -48,6 +50,9 @@
     pub sent: u32,
     /// Attempts that ended before anything was sent.
     pub unsent: u32,
+    /// Attempts of unknown outcome whose target ended or was cut off; they do not count against
+    /// the limit.
+    pub lost: u32,
 }
 
 /// Least time that a further attempt needs to be of use.
@@ -56,6 +61,9 @@
 /// Attempts that targets did not run; beyond this the service is taken as full.
 const MAX_NOT_RUN: u32 = 2;
 
+/// Lost targets that one request may meet beside its limit.
+const MAX_LOST: u32 = 2;
+
 /// Targets that refuse the connection one after the other before the request is given up.
 const MAX_UNSENT: u32 = 4;
 
@@ -69,6 +77,7 @@
             unknown: 0,
             sent: 0,
             unsent: 0,
+            lost: 0,
         }
     }
 
@@ -98,13 +107,21 @@
                 self.sent += 1;
                 self.unknown += 1;
             }
+            Failure::TargetLost => {
+                self.sent += 1;
+                self.unknown += 1;
+                self.lost += 1;
+            }
         }
+        let counted = self.unknown - self.lost.min(MAX_LOST);
         let is_permitted = match failure {
-            Failure::NotSent => self.unsent <= MAX_UNSENT && self.unknown < self.limit,
+            Failure::NotSent => self.unsent <= MAX_UNSENT && counted < self.limit,
             Failure::NotRun => {
-                self.sent - self.unknown <= MAX_NOT_RUN && self.unknown < self.limit
+                self.sent - self.unknown <= MAX_NOT_RUN && counted < self.limit
+            }
+            Failure::Unknown | Failure::TargetLost => {
+                self.repeat.is_repeatable() && counted < self.limit
             }
-            Failure::Unknown => self.repeat.is_repeatable() && self.unknown < self.limit,
         };
         let has_time = now + MIN_TIME_LEFT < deadline;
         // A request that never reached a target is no repeat and takes nothing from the budget.
--- a/crates/coriandercove_router/src/layout.rs
+++ b/crates/coriandercove_router/src/layout.rs
@@ -6,16 +6,19 @@
 
 use std::sync::Arc;
 
-use coriandercove_base::{TargetId, ZoneId};
+use coriandercove_base::{SortedMap, TargetId, ZoneId};
 
 use crate::fleet::LayerRange;
 use crate::routes::{Accelerator, EngineModel};
 
-/// Requests of usual size that a chain should have room for at once.
-///
-/// From the engines' figures: at this number the memory for layers and the memory for requests of
-/// the mixed accelerators carry about the same load.
-pub const STREAMS_PER_CHAIN: f64 = 80.0;
+/// Copies of each layer that a layout should have, tried in this order: with five, a lost target
+/// takes a fifth of the room of its layers.
+const COPIES: [u16; 4] = [5, 3, 2, 1];
+/// Requests of usual size that a chain may be laid out for, from the least to the most. Fewer waste
+/// the speed of large batches; the engines run no more at once.
+const STREAMS_PER_CHAIN: (u32, u32) = (40, 190);
+/// Step between the numbers of requests that are compared.
+const STREAMS_STEP: usize = 5;
 
 /// Bytes of a MB as the engines count them.
 const MB: f64 = 1e6;
@@ -60,13 +63,64 @@
     fit.max(1.0).min(most).min(f64::from(engine.layers)) as u16
 }
 
+/// Tokens of requests that a chain is laid out for.
+///
+/// Fewer layers on a target leave more memory for requests, but make fewer chains. Chains inside a
+/// zone count, because links between zones carry few prompts; the layout with the most room in
+/// such chains is taken among those with enough copies of each layer.
+#[must_use]
+pub fn chain_tokens(engine: &EngineModel, holders: &[Holder]) -> f64 {
+    let usual = engine.usual_prompt + engine.usual_answer;
+    let sizes = (STREAMS_PER_CHAIN.0..=STREAMS_PER_CHAIN.1).step_by(STREAMS_STEP);
+    let options: Vec<(f64, Chains)> = sizes
+        .map(|streams| f64::from(streams) * usual)
+        .map(|tokens| (tokens, Chains::count(engine, holders, tokens)))
+        .collect();
+    let most_room = |copies: u16| {
+        let enough = options.iter().filter(|(_, c)| c.all >= copies);
+        enough.max_by(|a, b| {
+            let room = |o: &(f64, Chains)| o.0 * f64::from(o.1.in_zones.max(1));
+            room(a).total_cmp(&room(b))
+        })
+    };
+    COPIES
+        .iter()
+        .find_map(|copies| most_room(*copies))
+        .map_or(f64::from(STREAMS_PER_CHAIN.0) * usual, |(tokens, _)| {
+            *tokens
+        })
+}
+
+/// Chains that a layout has.
+struct Chains {
+    /// Copies of all layers.
+    all: u16,
+    /// Chains whose parts are all in one zone.
+    in_zones: u16,
+}
+
+impl Chains {
+    fn count(engine: &EngineModel, holders: &[Holder], tokens: f64) -> Self {
+        let mut layers: SortedMap<&ZoneId, u16> = SortedMap::default();
+        for h in holders {
+            let size = layers_for(engine, &h.accelerator, tokens);
+            *layers.get_or_insert_with(&h.zone, || 0) += size;
+        }
+        let per_chain = engine.layers.max(1);
+        Self {
+            all: layers.values().sum::<u16>() / per_chain,
+            in_zones: layers.values().map(|l| l / per_chain).sum(),
+        }
+    }
+}
+
 /// Assigns layers to every target that has none; targets that hold layers keep them.
 ///
 /// If no target holds layers, whole chains are laid out, inside a zone where they fit. Otherwise
 /// the free targets take the ranges with the least capacity.
 #[must_use]
 pub fn plan(engine: &EngineModel, holders: &[Holder]) -> Vec<Assignment> {
-    let tokens = STREAMS_PER_CHAIN * (engine.usual_prompt + engine.usual_answer);
+    let tokens = chain_tokens(engine, holders);
     let mut free: Vec<&Holder> = holders.iter().filter(|h| h.layers.is_none()).collect();
     // The same order at every entry, fast accelerators first.
     free.sort_by(|a, b| {
@@ -263,7 +317,7 @@
 /// its load.
 #[must_use]
 pub fn rebalance(engine: &EngineModel, holders: &[Holder]) -> Option<Assignment> {
-    let tokens = STREAMS_PER_CHAIN * (engine.usual_prompt + engine.usual_answer);
+    let tokens = chain_tokens(engine, holders);
     let mut coverage = Coverage::of(engine, holders, tokens);
     let now = coverage.scarcity(tokens);
     let mut best: Option<((f64, f64), Assignment)> = None;
--- a/crates/coriandercove_router/src/layout/tests.rs
+++ b/crates/coriandercove_router/src/layout/tests.rs
@@ -107,3 +107,22 @@
     carry_out(&mut holders, &assignments);
     expect_that!(rebalance(&engine, &holders), none());
 }
+
+/// Guards against a chain size that suits one fleet alone: the small site keeps five copies, the
+/// grown one has two chains in each zone.
+#[gtest]
+fn the_room_of_a_chain_follows_the_fleet() {
+    let usual = 978.0;
+    let small = chain_tokens(&engine(), &site()) / usual;
+    expect_that!(small, all![ge(70.0), le(85.0)]);
+    let grown = fleet(&[
+        ("a", &[("a100", 3), ("l40s", 4), ("l4", 9)]),
+        ("b", &[("a100", 1), ("l40s", 5), ("l4", 13)]),
+        ("c", &[("a100", 1), ("l40s", 9), ("l4", 7)]),
+    ]);
+    let grown = chain_tokens(&engine(), &grown) / usual;
+    expect_that!(grown, all![ge(100.0), le(150.0)]);
+    let tiny = fleet(&[("a", &[("l40s", 4)])]);
+    let tokens = chain_tokens(&engine(), &tiny);
+    expect_that!(layers_for(&engine(), &tiny[0].accelerator, tokens), ge(19));
+}
--- a/crates/coriandercove_router/src/peers.rs
+++ b/crates/coriandercove_router/src/peers.rs
@@ -18,8 +18,13 @@
 
 /// Time between datagrams while load changes.
 const SEND_PERIOD: Duration = Duration::from_millis(200);
-/// Datagrams skipped at the most while nothing changes; two fit into a digest's lifetime.
-const IDLE_SKIPS: u32 = 2;
+/// Peers up to which datagrams are sent at the full rate; with more, the rate falls, so that an entry
+/// receives about as many whatever their number.
+const FULL_RATE_PEERS: usize = 10;
+/// Longest time between datagrams, in periods; three fit into a digest's lifetime.
+const MAX_PERIODS: usize = 3;
+/// Datagrams skipped at the most while nothing changes.
+const IDLE_SKIPS: u32 = 1;
 /// Largest datagram; a whole digest of some dozens of targets is far smaller.
 const MAX_DATAGRAM: usize = 16 * 1024;
 /// Time without a datagram after which a peer's address is dropped.
@@ -56,6 +61,7 @@
     socket: Rc<UdpSocket>,
     incarnation: u64,
     number: Cell<u64>,
+    ticks: Cell<u64>,
     skipped: Cell<u32>,
     last: RefCell<Digest>,
     peers: RefCell<SortedMap<NodeId, Peer>>,
@@ -84,6 +90,7 @@
             socket: Rc::new(socket),
             incarnation,
             number: Cell::new(0),
+            ticks: Cell::new(0),
             skipped: Cell::new(0),
             last: RefCell::default(),
             peers: RefCell::default(),
@@ -110,6 +117,12 @@
 
     fn send(&self) {
         let now = self.router.now();
+        let peers = self.addresses.borrow().keys().count();
+        let periods = peers.div_ceil(FULL_RATE_PEERS).clamp(1, MAX_PERIODS) as u64;
+        self.ticks.set(self.ticks.get() + 1);
+        if !self.ticks.get().is_multiple_of(periods) {
+            return;
+        }
         let digest = self.router.load.borrow().digest();
         let is_same = *self.last.borrow() == digest;
         if is_same && self.skipped.get() < IDLE_SKIPS {
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -37,7 +37,7 @@
 /// Time for an engine to answer an order or a report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for a part of a broken stream's path to show that it is alive.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time without a new target after which the first layout is made.
 const SETTLED: Duration = Duration::from_millis(700);
 /// Time after the first target was seen at which the first layout is made anyway.
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -302,7 +302,7 @@
                 job.router.metrics.repeat(match failed.failure {
                     Failure::NotSent => "not_sent",
                     Failure::NotRun => "not_run",
-                    Failure::Unknown => "repeatable",
+                    Failure::Unknown | Failure::TargetLost => "repeatable",
                 });
             }
             Next::Stop(outcome) => {
@@ -556,10 +556,16 @@
         Finished::Answer(response)
     }
 
-    /// Looks for the part of a broken stream's path that is at fault.
-    pub(crate) fn examine(&self, lost: &Started, cause: &'static str) {
-        warn!(self.router.log, "stream broke"; "req" => &*self.head.label, "cause" => cause,
-            "first" => %lost.address, "after" => self.cursor.last());
-        crate::placer::probe_parts(&self.router, lost.hops.iter().map(|h| h.address));
+    /// Asks the parts of a silent or broken stream's path whether they are alive.
+    pub(crate) fn probe(&self, started: &Started) {
+        crate::placer::probe_parts(&self.router, started.hops.iter().map(|h| h.address));
+    }
+
+    /// Whether some part of the path gets no new work at present.
+    pub(crate) fn has_excluded_part(&self, started: &Started) -> bool {
+        let now = self.now();
+        let suspects = self.router.suspects.borrow();
+        let mut parts = started.hops.iter();
+        parts.any(|h| suspects.is_excluded(h.address, now))
     }
 }
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -79,11 +79,11 @@
     }
 }
 
-/// Silence in a running stream after which it goes on elsewhere: pauses are judged against the
-/// objective, and a chain that is merely slow must not be left for every pause.
-const STALL_FACTOR: u32 = 4;
-/// Least silence that counts as a stall.
-const MIN_STALL: Duration = Duration::from_millis(600);
+/// Silence of a stream after which the parts of its path are asked whether they are alive; longer
+/// than the pauses of a busy chain.
+const SILENCE: Duration = Duration::from_millis(400);
+/// Time that the parts have to answer before the silence is looked at again.
+const PROBE_WAIT: Duration = Duration::from_millis(300);
 
 /// Forwards the events of one request.
 struct Relay {
@@ -92,28 +92,33 @@
     splitter: Splitter,
     began: Time,
     has_event: bool,
-    last_data: Time,
     events: u32,
+    /// Whether the parts were asked since the last bytes came.
+    is_probed: bool,
+    /// Whether the stream may still leave a target that is silent.
+    may_move: bool,
 }
 
 enum Read {
     Data(Bytes),
     End,
     Broken(&'static str),
+    /// Nothing came for a while.
+    Silent,
     Deadline,
 }
 
 /// A body that forwards a stream from its first attempt on.
 pub(crate) fn stream(job: Job, started: Started) -> Body {
-    let now = job.router.now();
     let relay = Relay {
         began: job.arrived,
         job,
         current: Some(started),
         splitter: Splitter::default(),
         has_event: false,
-        last_data: now,
         events: 0,
+        is_probed: false,
+        may_move: true,
     };
     let pieces = unfold(Some(relay), |state| async move {
         let mut relay = state?;
@@ -141,7 +146,7 @@
             }
             let cause = match self.read().await {
                 Read::Data(bytes) => {
-                    self.last_data = self.job.router.now();
+                    self.is_probed = false;
                     match self.splitter.push(&bytes) {
                         Ok(()) => continue,
                         Err(_) => "event_too_long",
@@ -153,6 +158,10 @@
                 }
                 Read::End => "cut_short",
                 Read::Broken(cause) => cause,
+                Read::Silent => {
+                    self.on_silence().await;
+                    continue;
+                }
                 Read::Deadline => {
                     self.log_end("deadline");
                     return Some(Err(BodyError::Deadline));
@@ -213,11 +222,11 @@
     async fn read(&mut self) -> Read {
         let now = self.job.router.now();
         let left = self.job.deadline.saturating_sub(now);
-        let stall = self.stall_limit();
+        let silence = if self.is_probed { PROBE_WAIT } else { SILENCE };
         let Some(current) = &mut self.current else {
             return Read::Broken("gap");
         };
-        let frame = tokio::time::timeout(left.min(stall), current.exchange.body.frame()).await;
+        let frame = tokio::time::timeout(left.min(silence), current.exchange.body.frame()).await;
         match frame {
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(bytes) => Read::Data(bytes),
@@ -226,43 +235,66 @@
             },
             Ok(Some(Err(_))) => Read::Broken("connection"),
             Ok(None) => Read::End,
-            Err(_) if stall < left => Read::Broken("stall"),
+            Err(_) if silence < left => Read::Silent,
             Err(_) => Read::Deadline,
         }
     }
 
-    fn stall_limit(&self) -> Duration {
-        if !self.has_event {
-            return self.job.router.settings.stall();
+    /// Leaves a silent path only if a part of it is known to be lost and another path is ready:
+    /// a target that is merely slow still answers.
+    async fn on_silence(&mut self) {
+        let Some(current) = &self.current else {
+            return;
+        };
+        if self.may_move && self.is_probed && self.job.has_excluded_part(current) {
+            let next = self.job.on_failure(Failure::TargetLost);
+            self.may_move = next == Next::Retry && self.begin_elsewhere("silence").await.is_ok();
         }
-        let gap = self.job.route.gap_objective.unwrap_or(MIN_STALL);
-        (gap * STALL_FACTOR).max(MIN_STALL)
+        if let Some(current) = &self.current {
+            self.job.probe(current);
+        }
+        self.is_probed = true;
+    }
+
+    /// Starts another attempt; the one before ends once the new one's answer has begun.
+    async fn begin_elsewhere(&mut self, cause: &'static str) -> Result<(), Failure> {
+        self.job.router.metrics.continuation(cause);
+        let started = self.job.start().await.map_err(|e| e.failure)?;
+        if !started.exchange.head.status.is_success() {
+            return Err(Failure::Unknown);
+        }
+        info!(self.job.router.log, "stream continues"; "req" => &*self.job.head.label,
+            "cause" => cause, "after" => self.job.cursor.last(), "first" => %started.address);
+        self.splitter.clear();
+        self.current = Some(started);
+        Ok(())
     }
 
     async fn go_on_elsewhere(&mut self, cause: &'static str) -> Result<(), BodyError> {
         self.splitter.clear();
-        if let Some(lost) = self.current.take() {
-            self.job.examine(&lost, cause);
-        }
-        let mut failure = Failure::Unknown;
+        warn!(self.job.router.log, "stream broke"; "req" => &*self.job.head.label,
+            "cause" => cause, "after" => self.job.cursor.last(),
+            "first" => self.current.as_ref().map(|c| c.address.to_string()));
+        let mut failure = match self.current.take() {
+            Some(lost) => {
+                self.job.probe(&lost);
+                if cause == "connection" {
+                    // The first part ended, or told of another one that did.
+                    Failure::TargetLost
+                } else {
+                    Failure::Unknown
+                }
+            }
+            None => Failure::Unknown,
+        };
         loop {
-            let next = self.job.on_failure(failure);
-            if next != Next::Retry {
+            if self.job.on_failure(failure) != Next::Retry {
                 self.log_end(cause);
                 return Err(BodyError::Broken);
             }
-            self.job.router.metrics.continuation(cause);
-            match self.job.start().await {
-                Ok(started) if started.exchange.head.status.is_success() => {
-                    info!(self.job.router.log, "stream continues"; "req" => &*self.job.head.label,
-                        "cause" => cause, "after" => self.job.cursor.last(),
-                        "first" => %started.address);
-                    self.current = Some(started);
-                    self.last_data = self.job.router.now();
-                    return Ok(());
-                }
-                Ok(_) => failure = Failure::Unknown,
-                Err(e) => failure = e.failure,
+            match self.begin_elsewhere(cause).await {
+                Ok(()) => return Ok(()),
+                Err(f) => failure = f,
             }
         }
     }
--- a/crates/coriandercove_router/src/settings.rs
+++ b/crates/coriandercove_router/src/settings.rs
@@ -42,8 +42,6 @@
     pub retry_slack: f64,
     /// Length of the window, in seconds.
     pub retry_window_seconds: f64,
-    /// Time that a target in a broken chain keeps requests waiting, in ms.
-    pub stall_ms: u64,
 }
 
 /// Why settings are not usable.
@@ -133,12 +131,6 @@
         Ok(())
     }
 
-    /// Time that a target in a broken chain keeps requests waiting.
-    #[must_use]
-    pub fn stall(&self) -> Duration {
-        Duration::from_millis(self.stall_ms)
-    }
-
     /// Time from SIGTERM to SIGKILL.
     #[must_use]
     pub fn grace(&self) -> Duration {
