--- a/crates/coriandercove_router/src/admit.rs
+++ b/crates/coriandercove_router/src/admit.rs
@@ -50,9 +50,12 @@
     let mean = match reason {
         Refusal::NoConfiguration => Duration::from_secs(1),
         Refusal::NoTarget => Duration::from_millis(1500),
-        Refusal::Full | Refusal::Slow | Refusal::Overloaded | Refusal::NotRun | Refusal::Deadline => {
-            usual_service_time.max(MIN_RETRY_AFTER)
-        }
+        Refusal::Full
+        | Refusal::Slow
+        | Refusal::Overloaded
+        | Refusal::NotRun
+        | Refusal::Deadline => usual_service_time.max(MIN_RETRY_AFTER),
     };
-    mean.mul_f64(rng.random_range(0.5..1.5)).max(MIN_RETRY_AFTER)
+    mean.mul_f64(rng.random_range(0.5..1.5))
+        .max(MIN_RETRY_AFTER)
 }
--- a/crates/coriandercove_router/src/attempt.rs
+++ b/crates/coriandercove_router/src/attempt.rs
@@ -116,9 +116,7 @@
         let counted = self.unknown - self.lost.min(MAX_LOST);
         let is_permitted = match failure {
             Failure::NotSent => self.unsent <= MAX_UNSENT && counted < self.limit,
-            Failure::NotRun => {
-                self.sent - self.unknown <= MAX_NOT_RUN && counted < self.limit
-            }
+            Failure::NotRun => self.sent - self.unknown <= MAX_NOT_RUN && counted < self.limit,
             Failure::Unknown | Failure::TargetLost => {
                 self.repeat.is_repeatable() && counted < self.limit
             }
--- a/crates/coriandercove_router/src/budget/tests.rs
+++ b/crates/coriandercove_router/src/budget/tests.rs
@@ -27,7 +27,9 @@
         }
     }
     let within = |times: &[Time], start: Time| {
-        let inside = times.iter().filter(|t| **t >= start && **t < start + window);
+        let inside = times
+            .iter()
+            .filter(|t| **t >= start && **t < start + window);
         inside.count() as f64
     };
     for i in 0..1500u32 {
@@ -44,7 +46,9 @@
     let window = Duration::from_secs(10);
     let spend = |entries| {
         let mut budget = RetryBudget::new(0.2, 400.0, window);
-        (0..1000).filter(|_| budget.take(Time::ZERO, entries)).count()
+        (0..1000)
+            .filter(|_| budget.take(Time::ZERO, entries))
+            .count()
     };
     expect_that!(spend(1), le(400));
     expect_that!(spend(8) * 8, le(400));
--- a/crates/coriandercove_router/src/layout.rs
+++ b/crates/coriandercove_router/src/layout.rs
@@ -182,12 +182,7 @@
 
 /// Gives adjacent ranges to the targets of a chain; what exceeds the model is taken off the
 /// slowest.
-fn assign_chain(
-    engine: &EngineModel,
-    chain: &[&Holder],
-    tokens: f64,
-    out: &mut Vec<Assignment>,
-) {
+fn assign_chain(engine: &EngineModel, chain: &[&Holder], tokens: f64, out: &mut Vec<Assignment>) {
     let mut sizes: Vec<u16> = chain
         .iter()
         .map(|h| layers_for(engine, &h.accelerator, tokens))
@@ -297,7 +292,10 @@
     let mut coverage = Coverage::of(engine, holders, tokens);
     for a in out.iter() {
         if let Some(h) = holders.iter().find(|h| h.id == a.id) {
-            coverage.add(a.layers, room(engine, &h.accelerator, a.layers.len(), tokens));
+            coverage.add(
+                a.layers,
+                room(engine, &h.accelerator, a.layers.len(), tokens),
+            );
         }
     }
     for h in free {
--- a/crates/coriandercove_router/src/layout/tests.rs
+++ b/crates/coriandercove_router/src/layout/tests.rs
@@ -1,3 +1,5 @@
+#![allow(clippy::unwrap_used, reason = "a test ends at the first surprise")]
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/coriandercove_router/src/load.rs
+++ b/crates/coriandercove_router/src/load.rs
@@ -85,9 +85,7 @@
 impl Load {
     /// Adds work of this entry.
     pub fn begin(&mut self, target: SocketAddr, work: Work) {
-        self.own
-            .get_or_insert_with(target, Work::default)
-            .add(work);
+        self.own.get_or_insert_with(target, Work::default).add(work);
     }
 
     /// Removes work of this entry that was added before.
@@ -143,9 +141,7 @@
         let mut links = SortedMap::default();
         for (_, digest) in self.peers.values() {
             for (target, work) in &digest.work {
-                others
-                    .get_or_insert_with(*target, Work::default)
-                    .add(*work);
+                others.get_or_insert_with(*target, Work::default).add(*work);
             }
             for (link, tokens) in &digest.links {
                 *links.get_or_insert_with(link.clone(), || 0) += *tokens;
--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -247,12 +247,7 @@
 }
 
 /// Cost of the link into a part, and the part of it that delays the first event, in ms.
-fn link_cost(
-    view: View<'_>,
-    before: Option<Node>,
-    part: &Candidate,
-    demand: Demand,
-) -> (f64, f64) {
+fn link_cost(view: View<'_>, before: Option<Node>, part: &Candidate, demand: Demand) -> (f64, f64) {
     let Some(before) = before else {
         let is_remote = *part.zone != *view.entry_zone;
         let cost = if is_remote { REMOTE_FIRST_PART_MS } else { 0.0 };
--- a/crates/coriandercove_router/src/path/tests.rs
+++ b/crates/coriandercove_router/src/path/tests.rs
@@ -51,7 +51,12 @@
                 let first = rng.random_range(0..72);
                 let end = (first + rng.random_range(8..40)).min(80);
                 let zone = ["a", "b", "c"][rng.random_range(0..3)];
-                part(&format!("t{i}"), zone, (first, end), rng.random_range(2.0..16.0))
+                part(
+                    &format!("t{i}"),
+                    zone,
+                    (first, end),
+                    rng.random_range(2.0..16.0),
+                )
             })
             .collect();
         let engine = engine();
@@ -136,7 +141,10 @@
 /// lead to a refusal at once, while there is room.
 #[gtest]
 fn waiting_prompts_lead_to_a_refusal() {
-    let mut candidates = vec![part("t1", "a", (0, 40), 2.4), part("t2", "a", (40, 80), 2.4)];
+    let mut candidates = vec![
+        part("t1", "a", (0, 40), 2.4),
+        part("t2", "a", (40, 80), 2.4),
+    ];
     candidates[0].work.unread = 100 * 800 * 40;
     expect_that!(pick(&candidates, &Load::default()), err(eq(&NoPath::Slow)));
 }
@@ -144,7 +152,10 @@
 /// Guards against a refusal that blames load where layers are missing.
 #[gtest]
 fn missing_layers_are_told_apart_from_full_ones() {
-    let candidates = [part("t1", "a", (0, 40), 2.4), part("t2", "a", (41, 80), 2.4)];
+    let candidates = [
+        part("t1", "a", (0, 40), 2.4),
+        part("t2", "a", (41, 80), 2.4),
+    ];
     expect_that!(
         pick(&candidates, &Load::default()),
         err(eq(&NoPath::Incomplete))
--- a/crates/coriandercove_router/src/peers.rs
+++ b/crates/coriandercove_router/src/peers.rs
@@ -189,14 +189,14 @@
         }
         let now = self.router.now();
         let old = self.peers.borrow().get(&datagram.node).copied();
-        let is_old = old.is_some_and(|p| {
-            p.incarnation == datagram.incarnation && p.number >= datagram.number
-        });
+        let is_old = old
+            .is_some_and(|p| p.incarnation == datagram.incarnation && p.number >= datagram.number);
         if is_old {
             return;
         }
-        if old.is_none_or(|p| p.incarnation != datagram.incarnation || p.is_ready != datagram.is_ready)
-        {
+        if old.is_none_or(|p| {
+            p.incarnation != datagram.incarnation || p.is_ready != datagram.is_ready
+        }) {
             info!(self.router.log, "peer"; "node" => &*datagram.node, "address" => %from,
                 "ready" => datagram.is_ready);
         }
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -56,19 +56,13 @@
 impl Placer {
     /// Starts the placer; it ends when the subscriptions are dropped.
     #[must_use]
-    pub fn start(
-        router: Rc<Router>,
-        peers: Rc<Peers>,
-        timers: &TimerService,
-    ) -> Vec<Subscription> {
+    pub fn start(router: Rc<Router>, peers: Rc<Peers>, timers: &TimerService) -> Vec<Subscription> {
         let placer = Rc::new(Self { router, peers });
         let place = {
             let placer = Rc::clone(&placer);
             timers.subscribe(PLACE_PERIOD, move || placer.place())
         };
-        let report = {
-            timers.subscribe(REPORT_PERIOD, move || placer.read_reports())
-        };
+        let report = { timers.subscribe(REPORT_PERIOD, move || placer.read_reports()) };
         vec![place, report]
     }
 
--- a/crates/coriandercove_router/src/placer/placements.rs
+++ b/crates/coriandercove_router/src/placer/placements.rs
@@ -110,7 +110,10 @@
         if now.saturating_sub(self.reported) > REPORT_LIFETIME {
             self.slowness = 1.0;
         }
-        if self.ordered.is_some_and(|(_, at)| now.saturating_sub(at) >= ORDER_LIFETIME) {
+        if self
+            .ordered
+            .is_some_and(|(_, at)| now.saturating_sub(at) >= ORDER_LIFETIME)
+        {
             self.ordered = None;
             self.held = None;
         }
@@ -287,9 +290,7 @@
 
     /// Whether a target may be probed now.
     pub fn probe_due(&mut self, target: SocketAddr, now: Time) -> bool {
-        let at = self
-            .probed
-            .get_or_insert_with(target, || Time::ZERO);
+        let at = self.probed.get_or_insert_with(target, || Time::ZERO);
         let is_due = *at == Time::ZERO || now.saturating_sub(*at) >= PROBE_PAUSE;
         if is_due {
             *at = now;
@@ -320,7 +321,9 @@
     #[must_use]
     pub fn is_settled(&self, now: Time, quiet: Duration, at_most: Duration) -> bool {
         let is_quiet = self.seen.0 > 0 && now.saturating_sub(self.seen.1) >= quiet;
-        let waited = self.first_seen.is_some_and(|at| now.saturating_sub(at) >= at_most);
+        let waited = self
+            .first_seen
+            .is_some_and(|at| now.saturating_sub(at) >= at_most);
         is_quiet || waited
     }
 
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -336,9 +336,7 @@
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     // The length may change when the stream goes on at another target.
-    response
-        .headers_mut()
-        .remove(hyper::header::CONTENT_LENGTH);
+    response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
     response
 }
 
@@ -501,11 +499,13 @@
             let path = self
                 .router
                 .choose_path(&self.service, demand, self.first_event_limit())
-                .map_err(|e| not_sent(match e {
-                    NoPath::Full => Refusal::Full,
-                    NoPath::Slow => Refusal::Slow,
-                    NoPath::Incomplete => Refusal::NoTarget,
-                }))?;
+                .map_err(|e| {
+                    not_sent(match e {
+                        NoPath::Full => Refusal::Full,
+                        NoPath::Slow => Refusal::Slow,
+                        NoPath::Incomplete => Refusal::NoTarget,
+                    })
+                })?;
             let in_flight = InFlight::over_path(&self.router, &path.hops, demand);
             let first = &path.hops[0];
             return Ok((first.id.clone(), first.address, path.hops, in_flight));
@@ -540,9 +540,7 @@
         let mut response = Response::new(Body::whole(body));
         *response.status_mut() = status;
         *response.headers_mut() = self.router.dialect.caller_headers(&exchange.head.headers);
-        response
-            .headers_mut()
-            .remove(hyper::header::CONTENT_LENGTH);
+        response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
         let took = self.now().saturating_sub(self.arrived);
         info!(self.router.log, "target answered"; "req" => &*self.head.label,
             "status" => status.as_u16(), "first" => %address, "ms" => took.as_millis());
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -71,9 +71,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
-            }
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
             Self::Stream(_) => SizeHint::default(),
         }
     }
--- a/crates/coriandercove_router/src/settings/tests.rs
+++ b/crates/coriandercove_router/src/settings/tests.rs
@@ -32,15 +32,25 @@
 #[gtest]
 fn errors_name_the_place_and_what_is_allowed() {
     let cases = [
-        ("grace_seconds: 8", "grace_seconds: 0", "entry.yaml: grace_seconds is 0; allowed: 0.5"),
-        ("retry_ratio: 0.2", "retry_ratio: -1", "retry_ratio is -1; allowed: 0 or more"),
+        (
+            "grace_seconds: 8",
+            "grace_seconds: 0",
+            "entry.yaml: grace_seconds is 0; allowed: 0.5",
+        ),
+        (
+            "retry_ratio: 0.2",
+            "retry_ratio: -1",
+            "retry_ratio is -1; allowed: 0 or more",
+        ),
         ("zone: \"a\"", "zones: \"a\"", "zones"),
         ("\"127.0.0.1:8080\"", "\"somewhere\"", "callers"),
         ("memory_mb: 182", "memory_mb: lots", "memory_mb"),
     ];
     for (from, to, part) in cases {
         let text = TEXT.replace(from, to);
-        let error = Settings::parse(&text, "entry.yaml").unwrap_err().to_string();
+        let error = Settings::parse(&text, "entry.yaml")
+            .unwrap_err()
+            .to_string();
         expect_that!(error, contains_substring(part));
     }
 }
--- a/crates/coriandercove_router/src/sse/tests.rs
+++ b/crates/coriandercove_router/src/sse/tests.rs
@@ -30,7 +30,11 @@
         let mut seen = ids(&mut splitter);
         splitter.push(&text[cut..]).unwrap();
         seen.extend(ids(&mut splitter));
-        expect_that!(seen, elements_are![some(eq(&1)), some(eq(&2))], "cut at {cut}");
+        expect_that!(
+            seen,
+            elements_are![some(eq(&1)), some(eq(&2))],
+            "cut at {cut}"
+        );
     }
 }
 
--- a/crates/coriandercove_router/src/suspects/tests.rs
+++ b/crates/coriandercove_router/src/suspects/tests.rs
@@ -31,7 +31,10 @@
     suspects.on_failure(target(), Time::ZERO);
     suspects.on_failure(target(), Duration::from_secs(1));
     let later = Duration::from_secs(60);
-    expect_that!(suspects.on_failure(target(), later), some(eq(FIRST_EXCLUSION)));
+    expect_that!(
+        suspects.on_failure(target(), later),
+        some(eq(FIRST_EXCLUSION))
+    );
     expect_true!(suspects.on_success(target()));
     expect_false!(suspects.is_excluded(target(), later));
 }
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -13,11 +13,16 @@
 use crate::fleet::Target;
 use crate::state::Router;
 
-/// Time that a watch waits for a change. A silent connection is noticed after it; the bound on
-/// configuration leaves no more while the number of calls is priced.
+/// Time that a watch waits for a change. A silent connection is noticed after it, or when a peer is
+/// ahead; with more peers the latter is surer, and the calls of all add up.
 const WATCH: Duration = Duration::from_secs(5);
+/// Peers for which the wait grows by another [`WATCH`], and the most of them.
+const PEERS_PER_WATCH: usize = 8;
+const MAX_WATCHES: usize = 4;
 /// Pause between watches, so that changes in series take one call.
-const BATCH_PAUSE: Duration = Duration::from_millis(500);
+const BATCH_PAUSE: Duration = Duration::from_millis(450);
+/// The same before the first request: all targets announce themselves then, one after the other.
+const START_PAUSE: Duration = Duration::from_millis(800);
 /// First and longest pause after a failed call.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 /// Time after the platform's return in which entries that lapsed meanwhile come back.
@@ -65,7 +70,7 @@
             None => self.directory.list(self.topic).await,
             Some(after) => {
                 let wait = if self.lapsed.is_empty() {
-                    WATCH
+                    self.watch_time()
                 } else {
                     BATCH_PAUSE
                 };
@@ -87,7 +92,9 @@
                 self.apply(batch, known.is_none());
                 self.remove_lapsed();
                 if has_items {
-                    tokio::time::sleep(BATCH_PAUSE).await;
+                    let is_start = self.router.metrics.requests.get() == 0;
+                    let pause = if is_start { START_PAUSE } else { BATCH_PAUSE };
+                    tokio::time::sleep(pause).await;
                 }
             }
             Err(DirectoryError::HistoryGone) => {
@@ -105,6 +112,12 @@
         }
     }
 
+    fn watch_time(&self) -> Duration {
+        let peers = self.router.load.borrow().peers();
+        let watches = (peers / PEERS_PER_WATCH).clamp(1, MAX_WATCHES);
+        WATCH * watches as u32
+    }
+
     fn on_answer(&mut self) {
         let now = self.router.now();
         if let Some(since) = self.failed_since.take() {
@@ -154,7 +167,10 @@
         }
         self.revision = Some(batch.revision);
         let targets = self.router.fleet.borrow().len();
-        self.router.metrics.targets.set(targets.cast_signed() as i64);
+        self.router
+            .metrics
+            .targets
+            .set(targets.cast_signed() as i64);
     }
 
     fn apply_item(&mut self, item: Item) {
@@ -245,8 +261,9 @@
 
     fn remove_lapsed(&mut self) {
         let now = self.router.now();
-        let (due, waiting): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.lapsed).into_iter().partition(|(_, at)| *at <= now);
+        let (due, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.lapsed)
+            .into_iter()
+            .partition(|(_, at)| *at <= now);
         self.lapsed = waiting;
         for (id, _) in due {
             self.remove_now(&id);
--- a/crates/coriandercove_router/tests/proxy.rs
+++ b/crates/coriandercove_router/tests/proxy.rs
@@ -71,9 +71,15 @@
     .await;
     let entry = Entry::start(&[address]).await;
     let mut caller = entry.request("/safe/x", "label: r\r\n").await;
-    assert_that!(read_until(&mut caller, "n0").await, starts_with("HTTP/1.1 200"));
+    assert_that!(
+        read_until(&mut caller, "n0").await,
+        starts_with("HTTP/1.1 200")
+    );
     send(&mut caller, "/safe/x", "label: r\r\n").await;
-    assert_that!(read_until(&mut caller, "n1").await, starts_with("HTTP/1.1 200"));
+    assert_that!(
+        read_until(&mut caller, "n1").await,
+        starts_with("HTTP/1.1 200")
+    );
 }
 
 /// Guards against a booking that runs twice after its connection broke.
@@ -225,7 +231,11 @@
 async fn a_silent_target_that_is_alive_is_waited_for() {
     let (address, seen) = target(|_, head, mut stream| async move {
         if head.starts_with("GET /report") {
-            write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}").await;
+            write(
+                &mut stream,
+                "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}",
+            )
+            .await;
             return;
         }
         let chunk = |id| format!("{:x}\r\n{}\r\n", event(id).len(), event(id));
@@ -239,7 +249,11 @@
     let mut caller = entry.request("/resumable/x", CLOSE).await;
     let answer = read_all(&mut caller).await;
     assert_that!(answer, ends_with("0\r\n\r\n"));
-    let runs = seen.borrow().iter().filter(|h| h.starts_with("POST")).count();
+    let runs = seen
+        .borrow()
+        .iter()
+        .filter(|h| h.starts_with("POST"))
+        .count();
     assert_that!(runs, eq(1));
 }
 
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! An entry with a stand-in for targets, whose every byte a test decides.
 
 #![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "a test ends at the first surprise")]
 
 use std::cell::RefCell;
 use std::future::Future;
