--- a/crates/coriandercove_router/src/events.rs
+++ b/crates/coriandercove_router/src/events.rs
@@ -30,6 +30,10 @@
     unreadable: CounterFamily,
     /// Orders by outcome.
     orders: CounterFamily,
+    /// Requests whose caller left.
+    pub cancelled: Counter,
+    /// Log lines left out.
+    pub omitted_lines: Counter,
     /// Version of the configuration in force.
     pub version: Gauge,
     /// Targets listed.
@@ -55,6 +59,8 @@
             platform_errors: m.counters("platform_errors", "Failed calls to the platform by topic"),
             unreadable: m.counters("unreadable_objects", "Objects that cannot be read by topic"),
             orders: m.counters("orders", "Orders to engines by outcome"),
+            cancelled: m.counter("cancelled", "Requests whose caller left"),
+            omitted_lines: m.counter("omitted_log_lines", "Log lines left out"),
             version: m.gauge("configuration_version", "Version in force"),
             targets: m.gauge("targets", "Targets listed"),
             in_flight: m.gauge("requests_in_flight", "Requests in flight"),
--- a/crates/coriandercove_router/src/process.rs
+++ b/crates/coriandercove_router/src/process.rs
@@ -10,6 +10,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use coriandercove_base::rng;
+use coriandercove_base::telemetry::Omitted;
 use coriandercove_base::timer::TimerService;
 
 use crate::dialect::{Dialect, Directory, Topic};
@@ -28,6 +29,9 @@
 /// Time between two looks at open connections while stopping.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
+/// Time between two lines that tell how many lines were left out.
+const OMITTED_PERIOD: Duration = Duration::from_secs(5);
+
 /// Why an entry does not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -68,6 +72,7 @@
     dialect: Rc<dyn Dialect>,
     directory: Rc<dyn Directory>,
     log: Logger,
+    omitted: Omitted,
 ) -> Result<(), StartError> {
     let callers = listen("callers", settings.callers).await?;
     let readiness = listen("readiness", settings.readiness).await?;
@@ -88,6 +93,10 @@
     }
     let (peers, _sending) = Peers::start(Rc::clone(&router), socket, &timers);
     let _placing = Placer::start(Rc::clone(&router), peers, &timers);
+    let _omitted = {
+        let router = Rc::clone(&router);
+        timers.subscribe(OMITTED_PERIOD, move || report_omitted(&router, &omitted))
+    };
     let front = Front::new(Rc::clone(&router));
     actix_rt::spawn(Rc::clone(&front).accept(callers));
     actix_rt::spawn(serve_status(
@@ -110,6 +119,14 @@
     Ok(())
 }
 
+fn report_omitted(router: &Router, omitted: &Omitted) {
+    let lines = omitted.take();
+    if lines > 0 {
+        router.metrics.omitted_lines.inc_by(lines);
+        warn!(router.log, "lines left out"; "lines" => lines);
+    }
+}
+
 /// Settings hold addresses and bounds that belong to the process for its life; a change takes
 /// effect with the next start.
 fn reload(router: &Router) {
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -1,5 +1,6 @@
 //! Serves one request: admission, attempts, and the answer or refusal.
 
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,11 +13,11 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use slog::{info, warn};
 
-use coriandercove_base::{AccountId, Time};
+use coriandercove_base::{AccountId, ConfigVersion, TargetId, Time};
 
 use crate::admit::{Refusal, retry_after};
 use crate::attempt::{Attempts, Failure, Next, Outcome};
-use crate::dialect::{CallerHead, Dispatch};
+use crate::dialect::{CallerHead, Dispatch, RequestLabel};
 use crate::path::{Demand, Hop, NoPath};
 use crate::relay::{self, Body};
 use crate::routes::{Configuration, Route, Service, ServiceId};
@@ -56,6 +57,10 @@
     pub(crate) deadline: Time,
     /// Last event that the caller has.
     pub(crate) cursor: Cursor,
+    /// Version of the configuration that admitted it.
+    version: ConfigVersion,
+    /// Notes a caller that leaves.
+    pub(crate) watched: Watched,
     service: Arc<Service>,
     account: Option<AccountId>,
     priority: u8,
@@ -81,6 +86,61 @@
     reason: Refusal,
 }
 
+/// Where an attempt goes.
+struct Choice {
+    target: TargetId,
+    address: SocketAddr,
+    hops: Vec<Hop>,
+    /// Expected time to the first event.
+    expected: Duration,
+    in_flight: InFlight,
+}
+
+/// A path as the log shows it.
+struct PathText<'a>(&'a [Hop]);
+
+impl slog::Value for PathText<'_> {
+    fn serialize(
+        &self,
+        _: &slog::Record<'_>,
+        key: slog::Key,
+        serializer: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        let mut text = String::new();
+        for hop in self.0 {
+            let comma = if text.is_empty() { "" } else { "," };
+            // Writing to a string cannot fail.
+            let _ = write!(text, "{comma}{}={}", hop.address, hop.layers);
+        }
+        serializer.emit_str(key, &text)
+    }
+}
+
+/// Logs a request whose caller left before its answer was complete.
+pub(crate) struct Watched {
+    router: Rc<Router>,
+    label: RequestLabel,
+    arrived: Time,
+    is_done: bool,
+}
+
+impl Watched {
+    pub(crate) fn done(&mut self) {
+        self.is_done = true;
+    }
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        if !self.is_done {
+            let took = self.router.now().saturating_sub(self.arrived);
+            self.router.metrics.cancelled.inc();
+            info!(self.router.log, "caller left"; "req" => &*self.label,
+                "ms" => took.as_millis());
+        }
+    }
+}
+
 /// Counts a request while it is served.
 struct Counted(Rc<Router>);
 
@@ -192,13 +252,23 @@
         .and_then(|(_, p)| *p)
         .unwrap_or(route.priority);
     let limit = cfg.limits.body_bytes;
+    let mut watched = Watched {
+        router: Rc::clone(router),
+        label: Arc::clone(&head.label),
+        arrived,
+        is_done: false,
+    };
     let (parts, body) = req.into_parts();
-    let body = read_caller_body(router, body, limit, deadline).await?;
+    let body = read_caller_body(router, body, limit, deadline)
+        .await
+        .inspect_err(|_| watched.done())?;
     Ok(Job {
         router: Rc::clone(router),
         attempts: Attempts::new(route.repeat, route.max_attempts),
         cursor: Cursor::after(head.resume_after),
         account: account.map(|(name, _)| name),
+        version: cfg.version,
+        watched,
         head,
         route,
         arrived,
@@ -270,7 +340,10 @@
     loop {
         let failed = match job.start().await {
             Ok(started) => match job.finish(started).await {
-                Finished::Answer(response) => return Ok(response),
+                Finished::Answer(response) => {
+                    job.watched.done();
+                    return Ok(response);
+                }
                 Finished::TargetFailure(response) => {
                     answered = Some(response);
                     Failed {
@@ -306,6 +379,7 @@
                 });
             }
             Next::Stop(outcome) => {
+                job.watched.done();
                 if let Some(response) = answered {
                     return Ok(response);
                 }
@@ -388,7 +462,13 @@
 
     /// Makes an attempt and waits for the head of its answer.
     pub(crate) async fn start(&mut self) -> Result<Started, Failed> {
-        let (target, address, hops, in_flight) = self.choose()?;
+        let Choice {
+            target,
+            address,
+            hops,
+            expected,
+            in_flight,
+        } = self.choose()?;
         let time_left = self.deadline.saturating_sub(self.now());
         if time_left.is_zero() {
             return Err(Failed {
@@ -411,7 +491,8 @@
         self.tried.push(address);
         info!(self.router.log, "sent"; "req" => &*self.head.label, "route" => &*self.route.name,
             "account" => self.account.as_deref(), "target" => &*target, "first" => %address,
-            "parts" => hops.len(), "left_ms" => time_left.as_millis(),
+            "path" => PathText(&hops), "expected_ms" => expected.as_millis(),
+            "left_ms" => time_left.as_millis(), "config" => self.version,
             "attempt" => self.attempts.sent + 1);
         let sent = tokio::time::timeout(time_left, send(address, request)).await;
         match sent {
@@ -486,9 +567,7 @@
         })
     }
 
-    fn choose(
-        &self,
-    ) -> Result<(coriandercove_base::TargetId, SocketAddr, Vec<Hop>, InFlight), Failed> {
+    fn choose(&self) -> Result<Choice, Failed> {
         let not_sent = |reason| Failed {
             failure: Failure::NotSent,
             reason,
@@ -508,7 +587,13 @@
                 })?;
             let in_flight = InFlight::over_path(&self.router, &path.hops, demand);
             let first = &path.hops[0];
-            return Ok((first.id.clone(), first.address, path.hops, in_flight));
+            return Ok(Choice {
+                target: first.id.clone(),
+                address: first.address,
+                expected: path.first_event,
+                in_flight,
+                hops: path.hops,
+            });
         }
         let target = self
             .router
@@ -519,7 +604,13 @@
             return Err(not_sent(Refusal::Full));
         }
         let in_flight = InFlight::at_target(&self.router, target.address);
-        Ok((target.id.clone(), target.address, Vec::new(), in_flight))
+        Ok(Choice {
+            target: target.id.clone(),
+            address: target.address,
+            hops: Vec::new(),
+            expected: Duration::ZERO,
+            in_flight,
+        })
     }
 
     async fn finish(&self, started: Started) -> Finished {
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -161,6 +161,7 @@
                     continue;
                 }
                 Read::Deadline => {
+                    self.job.watched.done();
                     self.log_end("deadline");
                     return Some(Err(BodyError::Deadline));
                 }
@@ -287,6 +288,7 @@
         };
         loop {
             if self.job.on_failure(failure) != Next::Retry {
+                self.job.watched.done();
                 self.log_end(cause);
                 return Err(BodyError::Broken);
             }
@@ -298,6 +300,7 @@
     }
 
     fn finish(&mut self) {
+        self.job.watched.done();
         self.log_end("whole");
         if let Some(current) = &self.current {
             self.job.router.trust(current.address);
