--- a/crates/coriandercove_router/src/layout.rs
+++ b/crates/coriandercove_router/src/layout.rs
@@ -211,54 +211,79 @@
     }
 }
 
-/// Room for requests at each layer, in tokens.
+/// Room for requests at each layer, in tokens, in each zone and in all.
 ///
 /// A request reserves its tokens at every layer, and a path may change targets at any layer, so
-/// the layer with the least room limits what all chains carry together.
-struct Coverage(Vec<f64>);
+/// the layer with the least room limits what the chains of a zone carry together. What a zone
+/// lacks comes from others, over links that carry few prompts.
+struct Coverage {
+    all: Vec<f64>,
+    zones: SortedMap<ZoneId, Vec<f64>>,
+    /// Room of one chain.
+    unit: f64,
+}
+
+/// Grows steeply as the room of a layer shrinks.
+fn scarcity(tokens: f64, unit: f64) -> f64 {
+    (tokens / unit + EMPTY_ROOM).powi(-3)
+}
 
 impl Coverage {
-    fn of(engine: &EngineModel, holders: &[Holder], tokens: f64) -> Self {
-        let mut coverage = Self(vec![0.0; usize::from(engine.layers)]);
+    fn of(engine: &EngineModel, holders: &[Holder], unit: f64) -> Self {
+        let layers = usize::from(engine.layers);
+        let mut coverage = Self {
+            all: vec![0.0; layers],
+            zones: SortedMap::default(),
+            unit,
+        };
         for h in holders {
+            let empty = || vec![0.0; layers];
+            coverage.zones.get_or_insert_with(h.zone.clone(), empty);
             if let Some(range) = h.layers {
-                coverage.add(range, room(engine, &h.accelerator, range.len(), tokens));
+                coverage.add(h, range, room(engine, &h.accelerator, range.len(), unit));
             }
         }
         coverage
     }
 
-    fn add(&mut self, range: LayerRange, tokens: f64) {
-        let end = usize::from(range.end).min(self.0.len());
+    fn add(&mut self, holder: &Holder, range: LayerRange, tokens: f64) {
+        let end = usize::from(range.end).min(self.all.len());
         let start = usize::from(range.first).min(end);
-        for c in &mut self.0[start..end] {
-            *c += tokens;
+        let zone = self.zones.get_mut(&holder.zone);
+        for layers in zone.into_iter().chain([&mut self.all]) {
+            for c in &mut layers[start..end] {
+                *c += tokens;
+            }
         }
     }
 
-    /// Grows steeply with the layers of little room; `unit` is the room of one chain.
-    fn scarcity(&self, unit: f64) -> f64 {
-        self.0
-            .iter()
-            .map(|tokens| (tokens / unit + EMPTY_ROOM).powi(-3))
-            .sum()
+    fn scarcity(&self) -> f64 {
+        let sum = |layers: &[f64]| layers.iter().map(|c| scarcity(*c, self.unit)).sum::<f64>();
+        let zones: f64 = self.zones.values().map(|layers| sum(layers)).sum();
+        zones + sum(&self.all)
     }
 
-    /// The window of `size` layers to which `tokens` of room help most; at about equal gain the one
-    /// that begins where another range of the zone ends, so that paths stay inside the zone.
-    fn best_window(&self, size: u16, tokens: f64, unit: f64, boundaries: &[u16]) -> LayerRange {
-        let layers = self.0.len() as u16;
+    /// The window of `size` layers to which `tokens` of room at a target help most; at about equal
+    /// gain the one that begins where another range of the zone ends.
+    fn best_window(
+        &self,
+        holder: &Holder,
+        size: u16,
+        tokens: f64,
+        boundaries: &[u16],
+    ) -> LayerRange {
+        let layers = self.all.len() as u16;
         let size = size.min(layers);
-        let gain = |c: &f64| {
-            let before = (c / unit + EMPTY_ROOM).powi(-3);
-            before - ((c + tokens) / unit + EMPTY_ROOM).powi(-3)
-        };
+        let gain = |c: &f64| scarcity(*c, self.unit) - scarcity(c + tokens, self.unit);
+        let zone = self.zones.get(&holder.zone);
         let mut best = (f64::NEG_INFINITY, 0);
         for first in 0..=(layers - size) {
-            let window = &self.0[usize::from(first)..usize::from(first + size)];
+            let window = usize::from(first)..usize::from(first + size);
+            let everywhere: f64 = self.all[window.clone()].iter().map(gain).sum();
+            let here: f64 = zone.map_or(0.0, |z| z[window].iter().map(gain).sum());
             let is_aligned = boundaries.binary_search(&first).is_ok();
             let preference = if is_aligned { 1.0 + ALIGNMENT } else { 1.0 };
-            let total = window.iter().map(gain).sum::<f64>() * preference;
+            let total = (everywhere + here) * preference;
             if total > best.0 {
                 best = (total, first);
             }
@@ -268,7 +293,7 @@
 }
 
 /// Room that a layer without a target counts as having, in chains; keeps the scarcity finite.
-const EMPTY_ROOM: f64 = 0.05;
+const EMPTY_ROOM: f64 = 0.2;
 /// Preference for a window that begins where another range of the zone ends.
 const ALIGNMENT: f64 = 0.05;
 /// Share by which a move must lower the scarcity to be worth the load and the pause.
@@ -293,6 +318,7 @@
     for a in out.iter() {
         if let Some(h) = holders.iter().find(|h| h.id == a.id) {
             coverage.add(
+                h,
                 a.layers,
                 room(engine, &h.accelerator, a.layers.len(), tokens),
             );
@@ -302,8 +328,8 @@
         let size = layers_for(engine, &h.accelerator, tokens);
         let room = room(engine, &h.accelerator, size, tokens);
         let boundaries = zone_boundaries(h, holders, out);
-        let layers = coverage.best_window(size, room, tokens, &boundaries);
-        coverage.add(layers, room);
+        let layers = coverage.best_window(h, size, room, &boundaries);
+        coverage.add(h, layers, room);
         out.push(Assignment {
             id: h.id.clone(),
             layers,
@@ -317,7 +343,7 @@
 pub fn rebalance(engine: &EngineModel, holders: &[Holder]) -> Option<Assignment> {
     let tokens = chain_tokens(engine, holders);
     let mut coverage = Coverage::of(engine, holders, tokens);
-    let now = coverage.scarcity(tokens);
+    let now = coverage.scarcity();
     let mut best: Option<((f64, f64), Assignment)> = None;
     for h in holders {
         let Some(held) = h.layers else {
@@ -327,13 +353,13 @@
         let held_room = room(engine, &h.accelerator, held.len(), tokens);
         let size = layers_for(engine, &h.accelerator, tokens);
         let new_room = room(engine, &h.accelerator, size, tokens);
-        coverage.add(held, -held_room);
+        coverage.add(h, held, -held_room);
         let boundaries = zone_boundaries(h, holders, &[]);
-        let layers = coverage.best_window(size, new_room, tokens, &boundaries);
-        coverage.add(layers, new_room);
-        let after = coverage.scarcity(tokens);
-        coverage.add(layers, -new_room);
-        coverage.add(held, held_room);
+        let layers = coverage.best_window(h, size, new_room, &boundaries);
+        coverage.add(h, layers, new_room);
+        let after = coverage.scarcity();
+        coverage.add(h, layers, -new_room);
+        coverage.add(h, held, held_room);
         if after >= now * (1.0 - MOVE_GAIN) {
             continue;
         }
--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -18,11 +18,14 @@
 const MAX_PARTS: usize = 32;
 /// Expected overhead of one more part for a token, in ms.
 const PART_OVERHEAD_MS: f64 = 0.2;
-/// Cost of a change of zones beside the time of its transfers, in ms: the memory moved is paid for,
-/// and the link is shared with whatever else uses it.
-const ZONE_CHANGE_MS: f64 = 150.0;
+/// Streams whose tokens wait while a prompt crosses between two zones: its transfer costs them as
+/// much as it costs the request itself.
+const LINK_SHARERS: f64 = 40.0;
 /// Share of the transfers under way that a token waits for at a link between zones, on average.
 const LINK_WAIT: f64 = 0.5;
+/// Time of the prompts under way on a link between zones beyond which no more are added, in ms:
+/// every stream over that link then pauses for so long.
+const LINK_LIMIT_MS: f64 = 150.0;
 /// Cost of a first part in another zone than the entry's, in ms; events then cross zones.
 const REMOTE_FIRST_PART_MS: f64 = 100.0;
 /// Weight of the squared KV cache occupancy on the decode time, so that a chain fills up last
@@ -167,6 +170,9 @@
                     continue;
                 }
                 let (link, wait) = link_cost(view, before, candidate, demand);
+                if needs_room && link.is_infinite() {
+                    continue;
+                }
                 for (e, &end) in bounds.iter().enumerate().skip(b + 1) {
                     if end > candidate.layers.end {
                         break;
@@ -246,7 +252,8 @@
     (read, token * f64::from(demand.answer))
 }
 
-/// Cost of the link into a part, and the part of it that delays the first event, in ms.
+/// Cost of the link into a part, and the part of it that delays the first event, in ms. The cost is
+/// infinite if the link takes no more prompts.
 fn link_cost(view: View<'_>, before: Option<Node>, part: &Candidate, demand: Demand) -> (f64, f64) {
     let Some(before) = before else {
         let is_remote = *part.zone != *view.entry_zone;
@@ -267,8 +274,12 @@
     let under_way = view.load.transfers(&zone_pair(from, &part.zone)) as f64 * token;
     let answer = f64::from(demand.answer);
     let per_token = delay + token + under_way * LINK_WAIT;
-    let wait = under_way + f64::from(demand.prompt) * token + delay;
-    (ZONE_CHANGE_MS + wait + per_token * answer, wait)
+    let prompt = f64::from(demand.prompt) * token;
+    let wait = under_way + prompt + delay;
+    if under_way > LINK_LIMIT_MS {
+        return (f64::INFINITY, wait);
+    }
+    (prompt * LINK_SHARERS + wait + per_token * answer, wait)
 }
 
 /// The path that ends with node `end`, unless a target would appear twice or it has too many parts.
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -6,6 +6,7 @@
 
 mod placements;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -46,18 +47,25 @@
 /// Time without a change of the list of targets after which targets are moved: a target that
 /// restarts is back within it and fills its own gap.
 const MOVE_AFTER: Duration = Duration::from_millis(1500);
+/// Time after the last move at which another one is made although the fleet keeps changing.
+const MOVE_PAUSE: Duration = Duration::from_secs(3);
 
 /// Follows the engines and gives orders when it is this entry's turn.
 pub struct Placer {
     router: Rc<Router>,
     peers: Rc<Peers>,
+    last_move: Cell<Time>,
 }
 
 impl Placer {
     /// Starts the placer; it ends when the subscriptions are dropped.
     #[must_use]
     pub fn start(router: Rc<Router>, peers: Rc<Peers>, timers: &TimerService) -> Vec<Subscription> {
-        let placer = Rc::new(Self { router, peers });
+        let placer = Rc::new(Self {
+            router,
+            peers,
+            last_move: Cell::new(Time::ZERO),
+        });
         let place = {
             let placer = Rc::clone(&placer);
             timers.subscribe(PLACE_PERIOD, move || placer.place())
@@ -122,8 +130,13 @@
         if !is_first || settled {
             let mut assignments = layout::plan(engine, &holders);
             let is_idle = !self.router.placements.borrow().has_orders();
-            if assignments.is_empty() && is_idle && self.may_move(now) {
-                assignments.extend(layout::rebalance(engine, &holders));
+            if assignments.is_empty()
+                && is_idle
+                && self.may_move(now)
+                && let Some(assignment) = layout::rebalance(engine, &holders)
+            {
+                self.last_move.set(now);
+                assignments.push(assignment);
             }
             for assignment in assignments {
                 if let Some(t) = targets.iter().find(|t| t.id == assignment.id) {
@@ -134,12 +147,15 @@
         self.poll_orders(&targets, now);
     }
 
-    /// Whether the fleet has been as it is for long enough that a move is not undone at once.
+    /// Whether a move now is not undone at once: the fleet has been as it is for a while, or, where
+    /// it changes all the time, the last move is long ago.
     fn may_move(&self, now: Time) -> bool {
-        self.router
+        let is_settled = self
+            .router
             .placements
             .borrow()
-            .is_settled(now, MOVE_AFTER, Duration::MAX)
+            .is_settled(now, MOVE_AFTER, Duration::MAX);
+        is_settled || now.saturating_sub(self.last_move.get()) >= MOVE_PAUSE
     }
 
     /// Sends an order unless the target is excluded or an order was just tried.
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -91,6 +91,9 @@
     began: Time,
     has_event: bool,
     events: u32,
+    /// Time of the last event, and the longest pause between two.
+    last_event: Time,
+    longest_pause: Duration,
     /// Whether the parts were asked since the last bytes came.
     is_probed: bool,
     /// Whether the stream may still leave a target that is silent.
@@ -115,6 +118,8 @@
         splitter: Splitter::default(),
         has_event: false,
         events: 0,
+        last_event: Time::ZERO,
+        longest_pause: Duration::ZERO,
         is_probed: false,
         may_move: true,
     };
@@ -202,20 +207,25 @@
         }
         let out = piece.map(BytesMut::freeze).or(single);
         if out.is_some() {
-            self.note_first_event();
+            self.note_event();
         }
         Ok(out)
     }
 
-    fn note_first_event(&mut self) {
+    fn note_event(&mut self) {
         if let Some(current) = &mut self.current {
             current.in_flight.prompt_is_read();
         }
-        if !self.has_event {
+        let now = self.job.router.now();
+        if self.has_event {
+            let pause = now.saturating_sub(self.last_event);
+            self.longest_pause = self.longest_pause.max(pause);
+        } else {
             self.has_event = true;
-            let took = self.job.router.now().saturating_sub(self.began);
+            let took = now.saturating_sub(self.began);
             self.job.router.metrics.first_event(took);
         }
+        self.last_event = now;
     }
 
     async fn read(&mut self) -> Read {
@@ -313,7 +323,7 @@
         if end == "whole" {
             info!(self.job.router.log, "answered"; "req" => &*self.job.head.label, "status" => 200,
                 "events" => self.events, "ms" => took.as_millis(),
-                "attempts" => self.job.attempts.sent + 1);
+                "longest_pause_ms" => self.longest_pause.as_millis(), "attempts" => self.job.attempts.sent + 1);
         } else {
             warn!(self.job.router.log, "stream broken off"; "req" => &*self.job.head.label,
                 "cause" => end, "events" => self.events, "ms" => took.as_millis());
