--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -25,6 +25,7 @@
 use crate::peers::Peers;
 use crate::routes::{Configuration, Service};
 use crate::state::Router;
+use crate::sync::START_PAUSE;
 use crate::upstream::call;
 
 pub use placements::{Placement, Placements};
@@ -39,10 +40,11 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for a part of a broken stream's path to show that it is alive.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time without a new target after which the first layout is made.
-const SETTLED: Duration = Duration::from_millis(700);
+/// Time without a new target after which the first layout is made; longer than the pause between two
+/// looks at the platform's list, which would else pass for quiet.
+const SETTLED: Duration = START_PAUSE.saturating_add(Duration::from_millis(500));
 /// Time after the first target was seen at which the first layout is made anyway.
-const SETTLE_AT_MOST: Duration = Duration::from_secs(3);
+const SETTLE_AT_MOST: Duration = Duration::from_secs(4);
 
 /// Time without a change of the list of targets after which targets are moved: a target that
 /// restarts is back within it and fills its own gap.
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -22,7 +22,7 @@
 /// Pause between watches, so that changes in series take one call.
 const BATCH_PAUSE: Duration = Duration::from_millis(450);
 /// The same before the first request: all targets announce themselves then, one after the other.
-const START_PAUSE: Duration = Duration::from_millis(800);
+pub const START_PAUSE: Duration = Duration::from_millis(800);
 /// First and longest pause after a failed call.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 /// Time after the platform's return in which entries that lapsed meanwhile come back.
