Replace a lost later part of a running stream by a change of its path

Change: the first part is ordered to go on over a path that keeps it; only the loss of the first part excuses another run.

--- a/crates/coriandercove_router/src/dialect.rs
+++ b/crates/coriandercove_router/src/dialect.rs
@@ -137,6 +137,10 @@
 
     /// A request that gives an order to an engine.
     fn place_request(&self, order: &PlaceOrder) -> Request<Bytes>;
+
+    /// A request to the first part of a running request's path to continue it over `hops`, which
+    /// begin with the same part.
+    fn repath_request(&self, label: &str, hops: &[Hop]) -> Request<Bytes>;
 }
 
 /// Something from outside that cannot be read.
--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -85,6 +85,8 @@
     pub entry_zone: &'a str,
     /// Longest expected time to the first event.
     pub first_event_limit: Duration,
+    /// The first part, where a running request keeps it.
+    pub first: Option<&'a Hop>,
 }
 
 /// One part of a path.
@@ -149,7 +151,12 @@
     let View {
         engine, candidates, ..
     } = view;
-    let bounds = boundaries(engine, candidates);
+    let mut bounds = boundaries(engine, candidates);
+    if let Some(first) = view.first
+        && let Err(i) = bounds.binary_search(&first.layers.end)
+    {
+        bounds.insert(i, first.layers.end);
+    }
     let mut nodes: Vec<Node> = Vec::new();
     // The best node for each boundary and zone of the last part.
     let mut best: Vec<Vec<usize>> = vec![Vec::new(); bounds.len()];
@@ -177,6 +184,9 @@
                     if end > candidate.layers.end {
                         break;
                     }
+                    if b == 0 && !may_begin(view, candidate, end) {
+                        continue;
+                    }
                     if needs_room && !has_room(candidate, demand, end - at) {
                         break;
                     }
@@ -201,6 +211,12 @@
         .find_map(|end| assemble(&nodes, candidates, end))
 }
 
+/// Whether a path may begin with this part up to the layer `end`.
+fn may_begin(view: View<'_>, candidate: &Candidate, end: u16) -> bool {
+    view.first
+        .is_none_or(|f| f.address == candidate.address && f.layers.end == end)
+}
+
 fn boundaries(engine: &EngineModel, candidates: &[Candidate]) -> Vec<u16> {
     let mut bounds = vec![0, engine.layers];
     for c in candidates {
--- a/crates/coriandercove_router/src/path/tests.rs
+++ b/crates/coriandercove_router/src/path/tests.rs
@@ -32,6 +32,7 @@
         load,
         entry_zone: "a",
         first_event_limit: Duration::from_secs(1),
+        first: None,
     };
     choose(view, DEMAND).map(|path| {
         let hops = path.hops.iter();
@@ -66,6 +67,7 @@
             load: &Load::default(),
             entry_zone: "a",
             first_event_limit: Duration::from_secs(60),
+            first: None,
         };
         let Ok(path) = choose(view, DEMAND) else {
             continue;
@@ -161,3 +163,31 @@
         err(eq(&NoPath::Incomplete))
     );
 }
+
+/// Guards against a running request being led over another first part, which would run it again.
+#[gtest]
+fn a_running_request_keeps_its_first_part() {
+    let engine = engine();
+    let candidates = [
+        part("first", "a", (0, 40), 16.0),
+        part("faster", "a", (0, 40), 2.4),
+        part("second", "a", (30, 80), 2.4),
+    ];
+    let first = Hop {
+        id: Arc::from("first"),
+        zone: Arc::from("a"),
+        address: candidates[0].address,
+        layers: LayerRange::new(0, 35),
+    };
+    let view = View {
+        engine: &engine,
+        candidates: &candidates,
+        load: &Load::default(),
+        entry_zone: "a",
+        first_event_limit: Duration::from_secs(1),
+        first: Some(&first),
+    };
+    let path = choose(view, DEMAND).unwrap();
+    expect_that!(path.hops[0], eq(&first));
+    expect_that!(path.hops[1].layers, eq(LayerRange::new(35, 80)));
+}
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -23,7 +23,7 @@
 use crate::routes::{Configuration, Route, Service, ServiceId};
 use crate::sse::Cursor;
 use crate::state::{InFlight, Router};
-use crate::upstream::{Exchange, ExchangeError, read_body, send};
+use crate::upstream::{Exchange, ExchangeError, call, read_body, send};
 
 /// Time before the caller's own deadline at which its answer must leave.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(40);
@@ -36,6 +36,8 @@
 /// Factor on the objective that the expected time to the first event may reach. The expectation
 /// counts a waiting prompt at each part of its path at once, so it is about twice what happens.
 const FIRST_EVENT_FACTOR: u32 = 2;
+/// Time for the first part of a path to accept a new one.
+const CHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Requests at one target of a plain service, for each of its slots, beyond which more would miss
 /// their objective; a third waits for the second round.
 const REQUESTS_PER_SLOT: u32 = 3;
@@ -577,7 +579,7 @@
         {
             let path = self
                 .router
-                .choose_path(&self.service, demand, self.first_event_limit())
+                .choose_path(&self.service, demand, self.first_event_limit(), None)
                 .map_err(|e| {
                     not_sent(match e {
                         NoPath::Full => Refusal::Full,
@@ -650,11 +652,58 @@
         crate::placer::probe_parts(&self.router, started.hops.iter().map(|h| h.address));
     }
 
-    /// Whether some part of the path gets no new work at present.
-    pub(crate) fn has_excluded_part(&self, started: &Started) -> bool {
+    /// Which part of the path is lost, if any.
+    pub(crate) fn lost_part(&self, started: &Started) -> Option<LostPart> {
         let now = self.now();
         let suspects = self.router.suspects.borrow();
-        let mut parts = started.hops.iter();
-        parts.any(|h| suspects.is_excluded(h.address, now))
+        let is_lost = |h: &Hop| suspects.is_excluded(h.address, now);
+        if suspects.is_excluded(started.address, now) {
+            return Some(LostPart::First);
+        }
+        let mut others = started.hops.iter().skip(1);
+        others.any(is_lost).then_some(LostPart::Later)
+    }
+
+    /// Leads a running request around a lost later part, without running it again. Returns whether
+    /// the first part accepted the new path.
+    pub(crate) async fn change_path(&self, started: &mut Started) -> bool {
+        let (Some(demand), Some(first)) = (self.demand(), started.hops.first()) else {
+            return false;
+        };
+        let left = self.deadline.saturating_sub(self.now());
+        let chosen = self
+            .router
+            .choose_path(&self.service, demand, left, Some(first));
+        let Ok(path) = chosen else {
+            return false;
+        };
+        let request = self
+            .router
+            .dialect
+            .repath_request(&self.head.label, &path.hops);
+        let answer = call(started.address, request, CHANGE_TIMEOUT).await;
+        let is_accepted = answer.as_ref().is_ok_and(|a| a.status.is_success());
+        self.router.metrics.order(if is_accepted {
+            "path_changed"
+        } else {
+            "path_kept"
+        });
+        info!(self.router.log, "path change"; "req" => &*self.head.label,
+            "path" => PathText(&path.hops), "accepted" => is_accepted,
+            "status" => answer.ok().map(|a| a.status.as_u16()));
+        if is_accepted {
+            started.in_flight = InFlight::over_path(&self.router, &path.hops, demand);
+            started.hops = path.hops;
+        }
+        is_accepted
     }
 }
+
+/// A part of a path that is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LostPart {
+    /// The part that the router talks to.
+    First,
+    /// Another one.
+    Later,
+}
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -15,7 +15,7 @@
 use coriandercove_base::Time;
 
 use crate::attempt::{Failure, Next};
-use crate::proxy::{Job, Started};
+use crate::proxy::{Job, LostPart, Started};
 use crate::sse::{Splitter, Verdict};
 
 /// Why a body ends before its end; the connection to the caller is closed.
@@ -83,6 +83,18 @@
 /// Time that the parts have to answer before the silence is looked at again.
 const PROBE_WAIT: Duration = Duration::from_millis(300);
 
+/// New paths that one request may be led over after lost parts.
+const MAX_PATH_CHANGES: u32 = 3;
+
+/// What a lost part makes of the attempt: only the first part runs the request, so only its loss
+/// excuses another run.
+fn loss(lost: Option<LostPart>) -> Failure {
+    match lost {
+        Some(LostPart::First) => Failure::TargetLost,
+        Some(LostPart::Later) | None => Failure::Unknown,
+    }
+}
+
 /// Forwards the events of one request.
 struct Relay {
     job: Job,
@@ -98,6 +110,7 @@
     is_probed: bool,
     /// Whether the stream may still leave a target that is silent.
     may_move: bool,
+    path_changes: u32,
 }
 
 enum Read {
@@ -122,6 +135,7 @@
         longest_pause: Duration::ZERO,
         is_probed: false,
         may_move: true,
+        path_changes: 0,
     };
     let pieces = unfold(Some(relay), |state| async move {
         let mut relay = state?;
@@ -249,20 +263,32 @@
         }
     }
 
-    /// Leaves a silent path only if a part of it is known to be lost and another path is ready:
-    /// a target that is merely slow still answers.
+    /// Leaves a silent path only if a part of it is known to be lost: a target that is merely slow
+    /// still answers. A lost later part is replaced; otherwise the stream goes on at another target
+    /// once that one has begun.
     async fn on_silence(&mut self) {
-        let Some(current) = &self.current else {
+        let Some(mut current) = self.current.take() else {
             return;
         };
-        if self.may_move && self.is_probed && self.job.has_excluded_part(current) {
-            let next = self.job.on_failure(Failure::TargetLost);
-            self.may_move = next == Next::Retry && self.begin_elsewhere("silence").await.is_ok();
-        }
-        if let Some(current) = &self.current {
-            self.job.probe(current);
+        let lost = self.job.lost_part(&current).filter(|_| self.is_probed);
+        let is_repaired = lost == Some(LostPart::Later)
+            && self.path_changes < MAX_PATH_CHANGES
+            && self.job.change_path(&mut current).await;
+        if is_repaired {
+            self.path_changes += 1;
+            self.job.router.metrics.continuation("path_change");
+            self.is_probed = false;
+            self.current = Some(current);
+            return;
         }
+        self.job.probe(&current);
         self.is_probed = true;
+        self.current = Some(current);
+        if lost.is_some() && self.may_move {
+            let failure = loss(lost);
+            let next = self.job.on_failure(failure);
+            self.may_move = next == Next::Retry && self.begin_elsewhere("silence").await.is_ok();
+        }
     }
 
     /// Starts another attempt; the one before ends once the new one's answer has begun.
@@ -287,12 +313,7 @@
         let mut failure = match self.current.take() {
             Some(lost) => {
                 self.job.probe(&lost);
-                if cause == "connection" {
-                    // The first part ended, or told of another one that did.
-                    Failure::TargetLost
-                } else {
-                    Failure::Unknown
-                }
+                loss(self.job.lost_part(&lost))
             }
             None => Failure::Unknown,
         };
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -145,7 +145,7 @@
         self.placements.borrow().layers(target)
     }
 
-    /// Chooses a path for a model request.
+    /// Chooses a path for a model request, from its first part on if it has one.
     ///
     /// # Errors
     /// [`NoPath`] if no path has room.
@@ -154,6 +154,7 @@
         service: &Service,
         demand: Demand,
         first_event_limit: Duration,
+        first: Option<&Hop>,
     ) -> Result<Path, NoPath> {
         let Some(engine) = &service.engine else {
             return Err(NoPath::Incomplete);
@@ -185,6 +186,7 @@
             load: &load,
             entry_zone: &self.settings.zone,
             first_event_limit,
+            first,
         };
         choose(view, demand)
     }
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -22,6 +22,7 @@
 };
 use coriandercove_router::fleet::Target;
 use coriandercove_router::front::Front;
+use coriandercove_router::path::Hop;
 use coriandercove_router::routes::{ConfigurationBuilder, Repeat, Route, Service};
 use coriandercove_router::settings::Settings;
 use coriandercove_router::state::Router;
@@ -94,6 +95,10 @@
     fn place_request(&self, _: &PlaceOrder) -> Request<Bytes> {
         Request::new(Bytes::new())
     }
+
+    fn repath_request(&self, _: &str, _: &[Hop]) -> Request<Bytes> {
+        Request::new(Bytes::new())
+    }
 }
 
 fn settings() -> Settings {
