--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -45,6 +45,8 @@
     pub zone: ZoneId,
     /// Layers that it holds.
     pub layers: LayerRange,
+    /// Requests of which it may be the first part at once; more would wait at it.
+    pub slots: u32,
     /// KV cache, in tokens x layers.
     pub kv_capacity: u64,
     /// Factor on the time of a decode step, slowness included.
@@ -184,7 +186,7 @@
                     if end > candidate.layers.end {
                         break;
                     }
-                    if b == 0 && !may_begin(view, candidate, end) {
+                    if needs_room && b == 0 && !may_begin(view, candidate, end) {
                         continue;
                     }
                     if needs_room && !has_room(candidate, demand, end - at) {
@@ -211,10 +213,19 @@
         .find_map(|end| assemble(&nodes, candidates, end))
 }
 
+/// Share of the slots of a first part that entries fill together; the rest covers what they do not
+/// know of each other yet.
+const SLOT_SHARE: f64 = 0.9;
+
 /// Whether a path may begin with this part up to the layer `end`.
 fn may_begin(view: View<'_>, candidate: &Candidate, end: u16) -> bool {
-    view.first
-        .is_none_or(|f| f.address == candidate.address && f.layers.end == end)
+    match view.first {
+        Some(f) => f.address == candidate.address && f.layers.end == end,
+        None => {
+            let limit = f64::from(candidate.slots) * SLOT_SHARE;
+            f64::from(candidate.work.first_parts) < limit
+        }
+    }
 }
 
 fn boundaries(engine: &EngineModel, candidates: &[Candidate]) -> Vec<u16> {
--- a/crates/coriandercove_router/src/path/tests.rs
+++ b/crates/coriandercove_router/src/path/tests.rs
@@ -12,6 +12,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         zone: Arc::from(zone),
         layers: LayerRange::new(layers.0, layers.1),
+        slots: 192,
         kv_capacity: 80_000 * u64::from(layers.1 - layers.0),
         decode_factor,
         prefill_factor: 3.0,
@@ -191,3 +192,21 @@
     expect_that!(path.hops[0], eq(&first));
     expect_that!(path.hops[1].layers, eq(LayerRange::new(35, 80)));
 }
+
+/// Replays the load at which 90 requests waited at one fast first part while slow ones stood idle:
+/// a first part without a free slot is left out.
+#[gtest]
+fn a_first_part_without_a_free_slot_is_left_out() {
+    let mut candidates = vec![
+        part("fast", "a", (0, 40), 2.4),
+        part("slow", "a", (0, 40), 16.0),
+        part("rest", "a", (40, 80), 2.4),
+    ];
+    candidates[0].work.first_parts = 190;
+    expect_that!(
+        pick(&candidates, &Load::default()),
+        ok(eq(&vec!["slow:0-40".to_owned(), "rest:40-80".to_owned()]))
+    );
+    candidates[1].work.first_parts = 190;
+    expect_that!(pick(&candidates, &Load::default()), err(eq(&NoPath::Full)));
+}
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -103,8 +103,9 @@
     began: Time,
     has_event: bool,
     events: u32,
-    /// Time of the last event, and the longest pause between two.
+    /// Time of the last event, to the first one, and the longest pause between two.
     last_event: Time,
+    first_event: Duration,
     longest_pause: Duration,
     /// Whether the parts were asked since the last bytes came.
     is_probed: bool,
@@ -132,6 +133,7 @@
         has_event: false,
         events: 0,
         last_event: Time::ZERO,
+        first_event: Duration::ZERO,
         longest_pause: Duration::ZERO,
         is_probed: false,
         may_move: true,
@@ -237,6 +239,7 @@
         } else {
             self.has_event = true;
             let took = now.saturating_sub(self.began);
+            self.first_event = took;
             self.job.router.metrics.first_event(took);
         }
         self.last_event = now;
@@ -344,6 +347,7 @@
         if end == "whole" {
             info!(self.job.router.log, "answered"; "req" => &*self.job.head.label, "status" => 200,
                 "events" => self.events, "ms" => took.as_millis(),
+                "first_event_ms" => self.first_event.as_millis(),
                 "longest_pause_ms" => self.longest_pause.as_millis(), "attempts" => self.job.attempts.sent + 1);
         } else {
             warn!(self.job.router.log, "stream broken off"; "req" => &*self.job.head.label,
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -173,6 +173,7 @@
                     address: t.address,
                     zone: t.zone.clone(),
                     layers,
+                    slots: t.slots,
                     kv_capacity: layout::kv_capacity(engine, accelerator, layers.len()),
                     decode_factor: accelerator.decode_factor * slowness,
                     prefill_factor: accelerator.prefill_factor * slowness,
