--- a/crates/coriandercove_cli/src/args.rs
+++ b/crates/coriandercove_cli/src/args.rs
@@ -78,6 +78,7 @@
     #[command(after_help = "\
 Examples:
   coriandercove explain http://10.20.1.10:7401 --request 0123456789abcdef0123456789abcdef
+  coriandercove explain --logs entry-1.log --logs entry-2.log --request 9c41d07be2a35f68
   coriandercove explain entry-1 --answers answers.yaml --model drafting --account estimators
   coriandercove explain entry-1 --answers answers.yaml --service workshop --method POST --path /kiln-slots")]
     Explain(ExplainArgs),
@@ -251,10 +252,19 @@
 #[derive(Debug, Args)]
 pub struct ExplainArgs {
     /// Operations address of an entry, or a name with --answers
-    pub node: String,
+    #[arg(required_unless_present = "logs")]
+    pub node: Option<String>,
     /// File with answers that name the processes
     #[arg(long, value_name = "FILE")]
     pub answers: Option<PathBuf>,
+    /// File with log lines of processes, to look the request up there; may be repeated
+    #[arg(
+        long,
+        value_name = "FILE",
+        requires = "request",
+        conflicts_with = "node"
+    )]
+    pub logs: Vec<PathBuf>,
     /// Id of an earlier request
     #[arg(long, value_name = "ID")]
     pub request: Option<String>,
--- a/crates/coriandercove_cli/src/commands/explain.rs
+++ b/crates/coriandercove_cli/src/commands/explain.rs
@@ -1,5 +1,7 @@
 //! `coriandercove explain`.
 
+pub(crate) mod logs;
+
 use coriandercove_operator::{ExplainQuery, Explanation};
 
 use super::nodes;
@@ -8,6 +10,12 @@
 use crate::output::Output;
 
 pub(crate) async fn run(args: &ExplainArgs, out: &mut Output) -> Result<Exit, CliError> {
+    if let Some(request) = args.request.as_ref().filter(|_| !args.logs.is_empty()) {
+        let story = logs::read(&args.logs, request)?;
+        out.result(&story.text(), &story);
+        return Ok(Exit::Success);
+    }
+    let node = args.node.as_deref().unwrap_or_default();
     let query = ExplainQuery {
         request: args.request.clone(),
         account: args.account.clone(),
@@ -21,7 +29,7 @@
     query.check().map_err(|e| CliError::Usage {
         message: format!("flags of explain: {e}"),
     })?;
-    let client = nodes::client(&args.node, args.answers.as_ref(), &args.token)?;
+    let client = nodes::client(node, args.answers.as_ref(), &args.token)?;
     let explanation = client.explain(&query).await?;
     out.result(&text(&explanation), &explanation);
     Ok(Exit::Success)
--- a/crates/coriandercove_cli/src/commands/init.rs
+++ b/crates/coriandercove_cli/src/commands/init.rs
@@ -31,7 +31,7 @@
     out.remark(
         "Next: make a cluster key and an operator token with `coriandercove key secret`, keys for \
          the accounts with `coriandercove key new`, and start the processes with their settings \
-         (docs/operations.md).\n",
+         (docs/OPERATIONS.md).\n",
     );
     Ok(Exit::Success)
 }
--- a/crates/coriandercove_cli/tests/documentation.rs
+++ b/crates/coriandercove_cli/tests/documentation.rs
@@ -5,7 +5,7 @@
 use coriandercove_config::settings::{AgentArgs, EntryArgs};
 
 const PAGES: [&str; 2] = [
-    include_str!("../../../docs/operations.md"),
+    include_str!("../../../docs/OPERATIONS.md"),
     include_str!("../../../docs/configuration.md"),
 ];
 
--- a/crates/coriandercove_router/src/process.rs
+++ b/crates/coriandercove_router/src/process.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use slog::{Logger, info, warn};
+use slog::{Logger, info, o, warn};
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -84,7 +84,8 @@
     let mut term = on_signal(SignalKind::terminate())?;
     let mut interrupt = on_signal(SignalKind::interrupt())?;
     let mut hangup = on_signal(SignalKind::hangup())?;
-    info!(log, "start"; "node" => &*settings.node, "zone" => &*settings.zone,
+    let log = log.new(o!("node" => settings.node.to_string()));
+    info!(log, "start"; "zone" => &*settings.zone,
         "callers" => %settings.callers, "store" => %settings.store);
     let router = Rc::new(Router::new(settings, dialect, log, rng::from_os()));
     let timers = TimerService::start();
