--- a/crates/coriandercove_cli/src/commands/explain/logs.rs
+++ b/crates/coriandercove_cli/src/commands/explain/logs.rs
@@ -67,9 +67,13 @@
         .iter()
         .map(|l| format!("{} {}", field(l, "path"), field(l, "first")))
         .collect();
+    let nodes: Vec<String> = own.iter().map(|l| field(l, "node").to_owned()).collect();
+    // What another entry believed did not decide this request.
     let is_on_path = |l: &Map<String, Value>| {
         let target = field(l, "target");
-        field(l, "msg") == "target excluded" && paths.iter().any(|p| p.contains(target))
+        field(l, "msg") == "target excluded"
+            && nodes.iter().any(|n| n == field(l, "node"))
+            && paths.iter().any(|p| p.contains(target))
     };
     let meanwhile = |l: &Map<String, Value>| {
         let at = field(l, "ts");
--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -126,6 +126,37 @@
     Slow,
 }
 
+/// The layer that fewest targets can take a request at, for explaining a refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Narrowest {
+    /// The layer.
+    pub layer: u16,
+    /// Targets that hold it and take work.
+    pub holders: usize,
+    /// Those of them that have room for the request at this layer.
+    pub with_room: usize,
+}
+
+/// Finds the layer that fewest targets can take a request at.
+#[must_use]
+pub fn narrowest(view: View<'_>, demand: Demand) -> Narrowest {
+    let layers = (0..view.engine.layers).map(|layer| {
+        let holds = |c: &&Candidate| c.layers.first <= layer && layer < c.layers.end;
+        let holders = view.candidates.iter().filter(holds);
+        Narrowest {
+            layer,
+            holders: holders.clone().count(),
+            with_room: holders.filter(|c| has_room(c, demand, 1)).count(),
+        }
+    });
+    let fewest = layers.min_by_key(|n| (n.with_room, n.holders));
+    fewest.unwrap_or(Narrowest {
+        layer: 0,
+        holders: 0,
+        with_room: 0,
+    })
+}
+
 #[derive(Clone, Copy)]
 struct Node {
     cost: f64,
--- a/crates/coriandercove_router/src/path/tests.rs
+++ b/crates/coriandercove_router/src/path/tests.rs
@@ -210,3 +210,29 @@
     candidates[1].work.first_parts = 190;
     expect_that!(pick(&candidates, &Load::default()), err(eq(&NoPath::Full)));
 }
+
+/// Guards against a refusal whose log does not tell which layers were short.
+#[gtest]
+fn the_narrowest_layer_explains_a_refusal() {
+    let engine = engine();
+    let mut candidates = vec![
+        part("t1", "a", (0, 40), 2.4),
+        part("t2", "a", (40, 80), 2.4),
+        part("t3", "a", (40, 60), 2.4),
+    ];
+    candidates[1].work.kv = candidates[1].kv_capacity;
+    let view = View {
+        engine: &engine,
+        candidates: &candidates,
+        load: &Load::default(),
+        entry_zone: "a",
+        first_event_limit: Duration::from_secs(1),
+        first: None,
+    };
+    let expected = Narrowest {
+        layer: 60,
+        holders: 1,
+        with_room: 0,
+    };
+    expect_that!(narrowest(view, DEMAND), eq(expected));
+}
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -18,7 +18,7 @@
 use crate::admit::{Refusal, retry_after};
 use crate::attempt::{Attempts, Failure, Next, Outcome};
 use crate::dialect::{CallerHead, Dispatch, RequestLabel};
-use crate::path::{Demand, Hop, NoPath};
+use crate::path::{Demand, Hop, Narrowest, NoPath};
 use crate::relay::{self, Body};
 use crate::routes::{Configuration, Route, Service, ServiceId};
 use crate::sse::Cursor;
@@ -580,8 +580,9 @@
             let path = self
                 .router
                 .choose_path(&self.service, demand, self.first_event_limit(), None)
-                .map_err(|e| {
-                    not_sent(match e {
+                .map_err(|(reason, narrowest)| {
+                    self.log_no_path(reason, narrowest, demand);
+                    not_sent(match reason {
                         NoPath::Full => Refusal::Full,
                         NoPath::Slow => Refusal::Slow,
                         NoPath::Incomplete => Refusal::NoTarget,
@@ -615,6 +616,18 @@
         })
     }
 
+    fn log_no_path(&self, reason: NoPath, narrowest: Narrowest, demand: Demand) {
+        let (targets, peers) = {
+            let fleet = self.router.fleet.borrow();
+            let load = self.router.load.borrow();
+            (fleet.of_service(&self.service.name).count(), load.peers())
+        };
+        warn!(self.router.log, "no path"; "req" => &*self.head.label, "reason" => ?reason,
+            "prompt" => demand.prompt, "answer" => demand.answer, "targets" => targets,
+            "narrowest_layer" => narrowest.layer, "holders" => narrowest.holders,
+            "with_room" => narrowest.with_room, "peers" => peers, "config" => self.version);
+    }
+
     async fn finish(&self, started: Started) -> Finished {
         let status = started.exchange.head.status;
         if self.route.repeat.is_stream() && status.is_success() {
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -18,7 +18,7 @@
 use crate::heard::Heard;
 use crate::layout;
 use crate::load::{Load, Work, ZonePair, zone_pair};
-use crate::path::{Candidate, Demand, Hop, NoPath, Path, View, choose};
+use crate::path::{Candidate, Demand, Hop, Narrowest, NoPath, Path, View, choose, narrowest};
 use crate::placer::Placements;
 use crate::routes::{Configuration, Service};
 use crate::settings::Settings;
@@ -148,16 +148,21 @@
     /// Chooses a path for a model request, from its first part on if it has one.
     ///
     /// # Errors
-    /// [`NoPath`] if no path has room.
+    /// [`NoPath`] if no path has room, and the layer that limits it.
     pub fn choose_path(
         &self,
         service: &Service,
         demand: Demand,
         first_event_limit: Duration,
         first: Option<&Hop>,
-    ) -> Result<Path, NoPath> {
+    ) -> Result<Path, (NoPath, Narrowest)> {
         let Some(engine) = &service.engine else {
-            return Err(NoPath::Incomplete);
+            let nothing = Narrowest {
+                layer: 0,
+                holders: 0,
+                with_room: 0,
+            };
+            return Err((NoPath::Incomplete, nothing));
         };
         let fleet = self.fleet.borrow();
         let load = self.load.borrow();
@@ -189,7 +194,7 @@
             first_event_limit,
             first,
         };
-        choose(view, demand)
+        choose(view, demand).map_err(|reason| (reason, narrowest(view, demand)))
     }
 
     /// Chooses the target of a plain service with the fewest requests for its slots, in this zone
