--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -25,7 +25,7 @@
 use crate::peers::Peers;
 use crate::routes::{Configuration, Service};
 use crate::state::Router;
-use crate::sync::START_PAUSE;
+use crate::sync::TARGETS_PAUSE;
 use crate::upstream::call;
 
 pub use placements::{Placement, Placements};
@@ -42,7 +42,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time without a new target after which the first layout is made; longer than the pause between two
 /// looks at the platform's list, which would else pass for quiet.
-const SETTLED: Duration = START_PAUSE.saturating_add(Duration::from_millis(500));
+const SETTLED: Duration = TARGETS_PAUSE.saturating_add(Duration::from_millis(500));
 /// Time after the first target was seen at which the first layout is made anyway.
 const SETTLE_AT_MOST: Duration = Duration::from_secs(4);
 
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -19,14 +19,18 @@
 /// Peers for which the wait grows by another [`WATCH`], and the most of them.
 const PEERS_PER_WATCH: usize = 8;
 const MAX_WATCHES: usize = 4;
-/// Pause between watches, so that changes in series take one call.
-const BATCH_PAUSE: Duration = Duration::from_millis(450);
-/// The same before the first request: all targets announce themselves then, one after the other.
-pub const START_PAUSE: Duration = Duration::from_millis(800);
+/// Pauses between watches, so that changes in series take one call. Together with the call itself
+/// they stay below half of the shortest bounds, 2 s, on applying a configuration and on leaving a
+/// target that drains.
+const CONFIGURATION_PAUSE: Duration = Duration::from_millis(450);
+/// The same for targets, which change far more often.
+pub const TARGETS_PAUSE: Duration = Duration::from_millis(900);
 /// First and longest pause after a failed call.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 /// Time after the platform's return in which entries that lapsed meanwhile come back.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
+/// Time that a watch waits for a change while entries may come back.
+const LAPSE_WATCH: Duration = Duration::from_millis(500);
 /// Time without an answer after which entries may have lapsed.
 const LAPSE_OUTAGE: Duration = Duration::from_secs(1);
 
@@ -72,7 +76,7 @@
                 let wait = if self.lapsed.is_empty() {
                     self.watch_time()
                 } else {
-                    BATCH_PAUSE
+                    LAPSE_WATCH
                 };
                 tokio::select! {
                     result = self.directory.changes(self.topic, after, wait) => result,
@@ -92,9 +96,7 @@
                 self.apply(batch, known.is_none());
                 self.remove_lapsed();
                 if has_items {
-                    let is_start = self.router.metrics.requests.get() == 0;
-                    let pause = if is_start { START_PAUSE } else { BATCH_PAUSE };
-                    tokio::time::sleep(pause).await;
+                    tokio::time::sleep(self.batch_pause()).await;
                 }
             }
             Err(DirectoryError::HistoryGone) => {
@@ -112,6 +114,13 @@
         }
     }
 
+    fn batch_pause(&self) -> Duration {
+        match self.topic {
+            Topic::Configuration => CONFIGURATION_PAUSE,
+            Topic::Targets => TARGETS_PAUSE,
+        }
+    }
+
     fn watch_time(&self) -> Duration {
         let peers = self.router.load.borrow().peers();
         let watches = (peers / PEERS_PER_WATCH).clamp(1, MAX_WATCHES);
