--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -330,3 +330,6 @@
         }
     });
 }
+
+#[cfg(test)]
+mod tests;
