Take an infinite cost for the longest time instead of ending the connection's task

Ruled out: planned stops (none then) and callers that left. Change: such a cost is the longest time; the same for times in settings. The test for it failed with the same panic before.

--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -340,6 +340,11 @@
     (prompt * LINK_SHARERS + wait + per_token * answer, wait)
 }
 
+/// A time in ms; the longest one if it is infinite, as over a link that takes no more prompts.
+fn millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX)
+}
+
 /// The path that ends with node `end`, unless a target would appear twice or it has too many parts.
 fn assemble(nodes: &[Node], candidates: &[Candidate], end: usize) -> Option<Path> {
     let mut hops = Vec::new();
@@ -366,8 +371,8 @@
     hops.reverse();
     Some(Path {
         hops,
-        first_event: Duration::from_secs_f64(nodes[end].first_event / 1e3),
-        total: Duration::from_secs_f64(nodes[end].cost / 1e3),
+        first_event: millis(nodes[end].first_event),
+        total: millis(nodes[end].cost),
     })
 }
 
--- a/crates/coriandercove_router/src/path/tests.rs
+++ b/crates/coriandercove_router/src/path/tests.rs
@@ -236,3 +236,16 @@
     };
     expect_that!(narrowest(view, DEMAND), eq(expected));
 }
+
+/// Guards against the crash that ended connections without an answer (brandstaetter-ki-grown
+/// trouble-1, seed 645923789222): the only cover crosses a link that takes no more prompts.
+#[gtest]
+fn a_link_that_takes_no_more_prompts_means_full() {
+    let candidates = [
+        part("a1", "a", (0, 40), 2.4),
+        part("b2", "b", (40, 80), 2.4),
+    ];
+    let mut load = Load::default();
+    load.begin_transfer(zone_pair(&Arc::from("a"), &Arc::from("b")), 1_000_000);
+    expect_that!(pick(&candidates, &load), err(eq(&NoPath::Full)));
+}
--- a/crates/coriandercove_router/src/settings.rs
+++ b/crates/coriandercove_router/src/settings.rs
@@ -131,12 +131,23 @@
         Ok(())
     }
 
+    /// Window of the retry budget.
+    #[must_use]
+    pub fn retry_window(&self) -> Duration {
+        seconds(self.retry_window_seconds)
+    }
+
     /// Time from SIGTERM to SIGKILL.
     #[must_use]
     pub fn grace(&self) -> Duration {
-        Duration::from_secs_f64(self.grace_seconds)
+        seconds(self.grace_seconds)
     }
 }
 
+/// A checked time in seconds; the longest one if it is beyond what a time can hold.
+fn seconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value).unwrap_or(Duration::MAX)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -60,7 +60,7 @@
     /// A router that knows nothing yet.
     #[must_use]
     pub fn new(settings: Settings, dialect: Rc<dyn Dialect>, log: Logger, rng: Rng) -> Self {
-        let window = Duration::from_secs_f64(settings.retry_window_seconds);
+        let window = settings.retry_window();
         let budget = RetryBudget::new(settings.retry_ratio, settings.retry_slack, window);
         Self {
             settings,
