--- a/crates/coriandercove_router/src/admit.rs
+++ b/crates/coriandercove_router/src/admit.rs
@@ -19,8 +19,6 @@
     Slow,
     /// The deadline has passed or leaves no time.
     Deadline,
-    /// The process has too many requests in flight.
-    Overloaded,
     /// The targets did not run the request, and no further attempt is made.
     NotRun,
 }
@@ -35,7 +33,6 @@
             Self::Full => "full",
             Self::Slow => "slow",
             Self::Deadline => "deadline",
-            Self::Overloaded => "overloaded",
             Self::NotRun => "not_run",
         }
     }
@@ -50,11 +47,9 @@
     let mean = match reason {
         Refusal::NoConfiguration => Duration::from_secs(1),
         Refusal::NoTarget => Duration::from_millis(1500),
-        Refusal::Full
-        | Refusal::Slow
-        | Refusal::Overloaded
-        | Refusal::NotRun
-        | Refusal::Deadline => usual_service_time.max(MIN_RETRY_AFTER),
+        Refusal::Full | Refusal::Slow | Refusal::NotRun | Refusal::Deadline => {
+            usual_service_time.max(MIN_RETRY_AFTER)
+        }
     };
     mean.mul_f64(rng.random_range(0.5..1.5))
         .max(MIN_RETRY_AFTER)
