Take a target that leaves after an outage out at once

The entry had been turned away by the store for 7 s; the target left 0.5 s after its return, and was kept for 2 s as if it had lapsed in the outage, and longer while changes came in. Ruled out: a silent watch (the removal was delivered by one). Change: only targets that the first list lacks may have lapsed; while some may return, the list is looked at every 0.5 s. Two tests; the first failed before.

--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -95,7 +95,8 @@
                 let has_items = !batch.items.is_empty();
                 self.apply(batch, known.is_none());
                 self.remove_lapsed();
-                if has_items {
+                // Entries that may have lapsed are looked at again soon.
+                if has_items && self.lapsed.is_empty() {
                     tokio::time::sleep(self.batch_pause()).await;
                 }
             }
@@ -194,10 +195,11 @@
                 warn!(self.router.log, "object not readable"; "topic" => self.topic.as_str(),
                     "name" => &*name, "cause" => %problem);
                 if self.topic == Topic::Targets {
-                    self.remove(&name);
+                    self.remove_now(&name);
                 }
             }
-            Item::Removed { name } if self.topic == Topic::Targets => self.remove(&name),
+            // It left after the outage, so it did not lapse in it.
+            Item::Removed { name } if self.topic == Topic::Targets => self.remove_now(&name),
             Item::Removed { name } => {
                 warn!(self.router.log, "object removed, what is known stays in force";
                     "topic" => self.topic.as_str(), "name" => &*name);
@@ -242,12 +244,13 @@
             .map(|t| t.id.clone())
             .collect();
         for id in missing {
-            self.remove(&id);
+            self.remove_missing_one(&id);
         }
     }
 
-    /// Removes a target, or keeps it for a while if it may have lapsed in an outage.
-    fn remove(&mut self, id: &Arc<str>) {
+    /// Removes a target that a list lacks, or keeps it for a while if it may have lapsed in an outage
+    /// just before.
+    fn remove_missing_one(&mut self, id: &Arc<str>) {
         let now = self.router.now();
         let due = self.regained.map(|at| at + LAPSE_GRACE);
         match due {
@@ -263,6 +266,7 @@
     }
 
     fn remove_now(&mut self, id: &str) {
+        self.lapsed.retain(|(name, _)| **name != *id);
         if self.router.fleet.borrow_mut().remove(id).is_some() {
             info!(self.router.log, "target gone"; "id" => id);
         }
--- a/crates/coriandercove_router/tests/sync.rs
+++ b/crates/coriandercove_router/tests/sync.rs
@@ -6,9 +6,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use coriandercove_router::dialect::{Batch, Directory, DirectoryError, Item, Topic};
+use coriandercove_router::fleet::Target;
 use coriandercove_router::heard::Revisions;
 use coriandercove_router::routes::ConfigurationBuilder;
 use coriandercove_router::sync::follow;
@@ -17,13 +19,52 @@
 
 use support::Entry;
 
+/// How a watch ends.
+enum Watch {
+    Fails(DirectoryError),
+    Removes(&'static str),
+}
+
+fn unreachable() -> DirectoryError {
+    DirectoryError::Unreachable {
+        problem: "turned away".to_owned(),
+    }
+}
+
+fn targets(revision: u64, names: &[&str]) -> Batch {
+    let target = |name: &&str| {
+        Item::Target(Arc::new(Target {
+            id: (*name).into(),
+            service: "s".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: "a".into(),
+            slots: 1,
+            is_draining: false,
+            started_ms: 1,
+            warm_up: Duration::ZERO,
+            accelerator: "".into(),
+            layers: None,
+        }))
+    };
+    Batch {
+        revision,
+        last_change: revision,
+        items: names.iter().map(target).collect(),
+    }
+}
+
 /// A store whose watches end as a script says and then hear nothing.
 struct Script {
     /// Version that a list holds.
     version: Cell<u64>,
     /// Outcomes of the watches, the first one last.
-    watches: RefCell<Vec<DirectoryError>>,
+    watches: RefCell<Vec<Watch>>,
+    /// Targets that a list holds.
+    listed: RefCell<Vec<&'static str>>,
+    /// Lists that were answered.
     lists: Cell<usize>,
+    /// Whether every call fails.
+    is_down: Cell<bool>,
 }
 
 fn batch(version: u64) -> Batch {
@@ -36,9 +77,17 @@
 }
 
 impl Directory for Script {
-    fn list(&self, _: Topic) -> LocalBoxFuture<'_, Result<Batch, DirectoryError>> {
+    fn list(&self, topic: Topic) -> LocalBoxFuture<'_, Result<Batch, DirectoryError>> {
+        if self.is_down.get() {
+            return Box::pin(async { Err(unreachable()) });
+        }
         self.lists.set(self.lists.get() + 1);
-        Box::pin(async { Ok(batch(self.version.get())) })
+        Box::pin(async move {
+            match topic {
+                Topic::Configuration => Ok(batch(self.version.get())),
+                Topic::Targets => Ok(targets(self.version.get(), &self.listed.borrow())),
+            }
+        })
     }
 
     fn changes(
@@ -47,10 +96,18 @@
         _: u64,
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<Batch, DirectoryError>> {
+        if self.is_down.get() {
+            return Box::pin(async { Err(unreachable()) });
+        }
         let outcome = self.watches.borrow_mut().pop();
         Box::pin(async move {
             match outcome {
-                Some(e) => Err(e),
+                Some(Watch::Fails(e)) => Err(e),
+                Some(Watch::Removes(name)) => Ok(Batch {
+                    revision: self.version.get() + 1,
+                    last_change: self.version.get() + 1,
+                    items: vec![Item::Removed { name: name.into() }],
+                }),
                 None => {
                     tokio::time::sleep(wait).await;
                     Ok(Batch {
@@ -64,17 +121,19 @@
     }
 }
 
-async fn start(watches: Vec<DirectoryError>) -> (Entry, Rc<Script>) {
+async fn start(topic: Topic, watches: Vec<Watch>) -> (Entry, Rc<Script>) {
     let entry = Entry::start(&[]).await;
     let script = Rc::new(Script {
         version: Cell::new(5),
         watches: RefCell::new(watches),
+        listed: RefCell::new(vec!["t1", "t2"]),
         lists: Cell::new(0),
+        is_down: Cell::new(false),
     });
     actix_rt::spawn(follow(
         Rc::clone(&entry.router),
         Rc::clone(&script) as Rc<dyn Directory>,
-        Topic::Configuration,
+        topic,
     ));
     tokio::time::sleep(Duration::from_millis(100)).await;
     (entry, script)
@@ -91,7 +150,7 @@
     let lost = DirectoryError::Unreachable {
         problem: "reset".to_owned(),
     };
-    let (entry, script) = start(vec![lost]).await;
+    let (entry, script) = start(Topic::Configuration, vec![Watch::Fails(lost)]).await;
     assert_that!(version(&entry), eq(5));
     script.version.set(7);
     tokio::time::sleep(Duration::from_millis(1200)).await;
@@ -101,7 +160,7 @@
 /// Guards against a watch on a silent connection keeping an entry behind its peers.
 #[actix_rt::test]
 async fn a_peer_that_is_ahead_leads_to_a_list() {
-    let (entry, script) = start(Vec::new()).await;
+    let (entry, script) = start(Topic::Configuration, Vec::new()).await;
     script.version.set(9);
     tokio::time::sleep(Duration::from_millis(600)).await;
     assert_that!(version(&entry), eq(5));
@@ -117,7 +176,7 @@
 #[actix_rt::test]
 async fn an_older_answer_is_dropped() {
     let gone = DirectoryError::HistoryGone;
-    let (entry, script) = start(vec![gone]).await;
+    let (entry, script) = start(Topic::Configuration, vec![Watch::Fails(gone)]).await;
     script.version.set(3);
     tokio::time::sleep(Duration::from_millis(800)).await;
     assert_that!(version(&entry), eq(5));
@@ -126,3 +185,42 @@
     entry.router.apply(Rc::new(old));
     assert_that!(version(&entry), eq(5));
 }
+
+fn is_listed(entry: &Entry, id: &str) -> bool {
+    entry.router.fleet.borrow().get(id).is_some()
+}
+
+/// Replays the entry that was turned away for 7 s (hyotan-signs trouble-1, seed 626293580639): a
+/// target that leaves after the return did not lapse in the outage and gets nothing new.
+#[actix_rt::test]
+async fn a_target_that_leaves_after_an_outage_is_left_at_once() {
+    let (entry, script) = start(Topic::Targets, vec![Watch::Removes("t1")]).await;
+    script.is_down.set(true);
+    tokio::time::sleep(Duration::from_millis(2600)).await;
+    script.is_down.set(false);
+    while script.lists.get() < 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_that!(is_listed(&entry, "t1"), eq(true));
+    tokio::time::sleep(Duration::from_millis(1300)).await;
+    assert_that!(is_listed(&entry, "t1"), eq(false));
+    assert_that!(is_listed(&entry, "t2"), eq(true));
+}
+
+/// Guards against targets that lapsed while the store was away being dropped before they are back,
+/// and against those that are gone being kept.
+#[actix_rt::test]
+async fn entries_that_lapsed_have_two_seconds_to_return() {
+    let (entry, script) = start(Topic::Targets, Vec::new()).await;
+    script.is_down.set(true);
+    tokio::time::sleep(Duration::from_millis(2600)).await;
+    script.listed.borrow_mut().clear();
+    script.is_down.set(false);
+    while script.lists.get() < 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(1000)).await;
+    assert_that!(is_listed(&entry, "t1"), eq(true));
+    tokio::time::sleep(Duration::from_millis(1700)).await;
+    assert_that!(is_listed(&entry, "t1"), eq(false));
+}
