Let knowledge of targets end at every entry, and simplify what a read of the change found

Fault: old knowledge of a target's layers expired only in the pass of the entry that gives orders. Another entry that had heard once that a target gives its layers up could leave it out for ever, and what was known of targets that are gone was never forgotten. Placements, exclusions and peers now expire in the pass that every entry makes; two tests in tests/placer.rs failed before. Two tests of placements call expire where see did this before; their assertions are as they were.

--- a/crates/coriandercove_router/src/layout.rs
+++ b/crates/coriandercove_router/src/layout.rs
@@ -120,8 +120,11 @@
 /// the free targets take the ranges with the least capacity.
 #[must_use]
 pub fn plan(engine: &EngineModel, holders: &[Holder]) -> Vec<Assignment> {
-    let tokens = chain_tokens(engine, holders);
     let mut free: Vec<&Holder> = holders.iter().filter(|h| h.layers.is_none()).collect();
+    if free.is_empty() {
+        return Vec::new();
+    }
+    let tokens = chain_tokens(engine, holders);
     // The same order at every entry, fast accelerators first.
     free.sort_by(|a, b| {
         let by_speed = a
@@ -130,9 +133,6 @@
             .total_cmp(&b.accelerator.decode_factor);
         by_speed.then(a.id.cmp(&b.id))
     });
-    if free.is_empty() {
-        return Vec::new();
-    }
     let mut out = Vec::new();
     if holders.iter().all(|h| h.layers.is_none()) {
         free = lay_out(engine, &free, tokens, &mut out);
--- a/crates/coriandercove_router/src/layout/tests.rs
+++ b/crates/coriandercove_router/src/layout/tests.rs
@@ -27,7 +27,6 @@
         usual_answer: 204.0,
         activation_bytes: 45_900.0,
         zone_link_mbps: 22_000.0,
-        slots: 192,
         zone_delays: Vec::new(),
         accelerators: vec![
             card("a100", 72_000.0, 2.4, 3.2),
--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -111,8 +111,6 @@
     pub hops: Vec<Hop>,
     /// Expected time to the first event.
     pub first_event: Duration,
-    /// Expected time for the whole answer.
-    pub total: Duration,
 }
 
 /// Why there is no path.
@@ -127,7 +125,7 @@
 }
 
 /// The layer that fewest targets can take a request at, for explaining a refusal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Narrowest {
     /// The layer.
     pub layer: u16,
@@ -149,12 +147,9 @@
             with_room: holders.filter(|c| has_room(c, demand, 1)).count(),
         }
     });
-    let fewest = layers.min_by_key(|n| (n.with_room, n.holders));
-    fewest.unwrap_or(Narrowest {
-        layer: 0,
-        holders: 0,
-        with_room: 0,
-    })
+    layers
+        .min_by_key(|n| (n.with_room, n.holders))
+        .unwrap_or_default()
 }
 
 #[derive(Clone, Copy)]
@@ -372,7 +367,6 @@
     Some(Path {
         hops,
         first_event: millis(nodes[end].first_event),
-        total: millis(nodes[end].cost),
     })
 }
 
--- a/crates/coriandercove_router/src/peers.rs
+++ b/crates/coriandercove_router/src/peers.rs
@@ -27,7 +27,7 @@
 const IDLE_SKIPS: u32 = 1;
 /// Largest datagram; a whole digest of some dozens of targets is far smaller.
 const MAX_DATAGRAM: usize = 16 * 1024;
-/// Time without a datagram after which a peer's address is dropped.
+/// Time without a datagram after which a peer and its address are dropped.
 const ADDRESS_LIFETIME: Duration = Duration::from_secs(20);
 
 data! {
@@ -135,6 +135,9 @@
         self.addresses
             .borrow_mut()
             .retain(|_, heard| now.saturating_sub(*heard) < ADDRESS_LIFETIME);
+        self.peers
+            .borrow_mut()
+            .retain(|_, peer| now.saturating_sub(peer.heard) < ADDRESS_LIFETIME);
         let to: Vec<SocketAddr> = self.addresses.borrow().keys().copied().collect();
         let datagram = Datagram {
             node: self.router.settings.node.clone(),
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -6,7 +6,7 @@
 
 mod placements;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,9 +21,9 @@
 
 use crate::dialect::{PlaceOrder, Report};
 use crate::fleet::{LayerRange, Target};
-use crate::layout::{self, Holder};
+use crate::layout::{self, Assignment, Holder};
 use crate::peers::Peers;
-use crate::routes::{Configuration, Service};
+use crate::routes::{Configuration, EngineModel, Service};
 use crate::state::Router;
 use crate::sync::TARGETS_PAUSE;
 use crate::upstream::call;
@@ -57,6 +57,9 @@
     router: Rc<Router>,
     peers: Rc<Peers>,
     last_move: Cell<Time>,
+    /// Revision of the configuration and targets for which no move was worth it. The comparison of
+    /// all moves takes milliseconds, and most looks find the fleet as it was.
+    balanced: RefCell<Option<(u64, Vec<Holder>)>>,
 }
 
 impl Placer {
@@ -67,12 +70,13 @@
             router,
             peers,
             last_move: Cell::new(Time::ZERO),
+            balanced: RefCell::default(),
         });
         let place = {
             let placer = Rc::clone(&placer);
             timers.subscribe(PLACE_PERIOD, move || placer.place())
         };
-        let report = { timers.subscribe(REPORT_PERIOD, move || placer.read_reports()) };
+        let report = timers.subscribe(REPORT_PERIOD, move || placer.read_reports());
         vec![place, report]
     }
 
@@ -86,6 +90,11 @@
     fn place(self: &Rc<Self>) {
         let now = self.router.now();
         self.router.load.borrow_mut().expire(now);
+        self.router.suspects.borrow_mut().expire(now);
+        self.router
+            .placements
+            .borrow_mut()
+            .expire(&self.router.fleet.borrow(), now);
         let peers = self.router.load.borrow().peers();
         self.router.metrics.peers.set(peers.cast_signed() as i64);
         if !self.is_leader() {
@@ -95,11 +104,11 @@
             return;
         };
         for service in cfg.services().iter().filter(|s| s.engine.is_some()) {
-            self.place_service(service, now);
+            self.place_service(service, cfg.revision, now);
         }
     }
 
-    fn place_service(self: &Rc<Self>, service: &Arc<Service>, now: Time) {
+    fn place_service(self: &Rc<Self>, service: &Arc<Service>, revision: u64, now: Time) {
         let Some(engine) = &service.engine else {
             return;
         };
@@ -135,7 +144,7 @@
             if assignments.is_empty()
                 && is_idle
                 && self.may_move(now)
-                && let Some(assignment) = layout::rebalance(engine, &holders)
+                && let Some(assignment) = self.find_move(engine, revision, &holders)
             {
                 self.last_move.set(now);
                 assignments.push(assignment);
@@ -149,6 +158,27 @@
         self.poll_orders(&targets, now);
     }
 
+    /// The move that is worth it, if any; the answer for an unchanged fleet is kept.
+    fn find_move(
+        &self,
+        engine: &EngineModel,
+        revision: u64,
+        holders: &[Holder],
+    ) -> Option<Assignment> {
+        let is_known = self
+            .balanced
+            .borrow()
+            .as_ref()
+            .is_some_and(|(r, known)| *r == revision && known == holders);
+        if is_known {
+            return None;
+        }
+        let found = layout::rebalance(engine, holders);
+        let balanced = found.is_none().then(|| (revision, holders.to_vec()));
+        *self.balanced.borrow_mut() = balanced;
+        found
+    }
+
     /// Whether a move now is not undone at once: the fleet has been as it is for a while, or, where
     /// it changes all the time, the last move is long ago.
     fn may_move(&self, now: Time) -> bool {
@@ -317,6 +347,9 @@
         let now = router.now();
         parts.filter(|a| placements.probe_due(*a, now)).collect()
     };
+    if addresses.is_empty() {
+        return;
+    }
     let router = Rc::clone(router);
     actix_rt::spawn(async move {
         let probes = addresses.iter().map(|a| {
--- a/crates/coriandercove_router/src/placer/placements.rs
+++ b/crates/coriandercove_router/src/placer/placements.rs
@@ -7,7 +7,7 @@
 use coriandercove_base::{SortedMap, TargetId, Time, data};
 
 use crate::dialect::Report;
-use crate::fleet::{LayerRange, Target};
+use crate::fleet::{Fleet, LayerRange, Target};
 
 /// Time after which an order without a trace in the reports is given up.
 const ORDER_LIFETIME: Duration = Duration::from_secs(2);
@@ -99,9 +99,7 @@
             reported: Time::ZERO,
         }
     }
-}
 
-impl Known {
     fn own_layers(&self) -> Option<LayerRange> {
         self.held.filter(|h| h.is_own).map(|h| h.layers)
     }
@@ -298,7 +296,17 @@
         is_due
     }
 
-    /// Notes how many targets there are, and forgets those that are gone and old slowness.
+    /// Forgets targets that are not listed, knowledge that is too old and orders without a trace.
+    pub fn expire(&mut self, fleet: &Fleet, now: Time) {
+        self.known.retain(|id, _| fleet.get(id).is_some());
+        for (_, known) in self.known.iter_mut() {
+            known.expire(now);
+        }
+        self.probed
+            .retain(|_, at| now.saturating_sub(*at) < PROBE_PAUSE);
+    }
+
+    /// Notes how many targets there are.
     pub fn see(&mut self, targets: &[Arc<Target>], now: Time) {
         if !targets.is_empty() && self.first_seen.is_none() {
             self.first_seen = Some(now);
@@ -306,9 +314,18 @@
         if self.seen.0 != targets.len() {
             self.seen = (targets.len(), now);
         }
-        for (_, known) in self.known.iter_mut() {
-            known.expire(now);
-        }
+    }
+
+    /// Targets of which something is known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.known.keys().count()
+    }
+
+    /// Whether nothing is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
     }
 
     /// Whether some target has an order that is not carried out.
--- a/crates/coriandercove_router/src/placer/placements/tests.rs
+++ b/crates/coriandercove_router/src/placer/placements/tests.rs
@@ -73,7 +73,7 @@
     let mut placements = Placements::default();
     let t = target(Some(OLD));
     placements.begin_order(&t, NEW, at(0));
-    placements.see(std::slice::from_ref(&t), at(2500));
+    placements.expire(&Fleet::new(vec![Arc::clone(&t)]), at(2500));
     expect_that!(placements.layers(&t), some(eq(OLD)));
     expect_false!(placements.has_orders());
 }
@@ -93,7 +93,7 @@
     placements.on_peer(&t, &told, at(100));
     expect_that!(placements.layers(&t), none());
     expect_that!(placements.for_peers(), is_empty());
-    placements.see(std::slice::from_ref(&t), at(2500));
+    placements.expire(&Fleet::new(vec![Arc::clone(&t)]), at(2500));
     expect_that!(placements.layers(&t), some(eq(OLD)));
 }
 
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -224,15 +224,9 @@
                 }
                 Finished::TargetFailure(response) => {
                     answered = Some(response);
-                    Failed {
-                        failure: Failure::Unknown,
-                        reason: Refusal::NotRun,
-                    }
+                    Failed::unknown()
                 }
-                Finished::Broken => Failed {
-                    failure: Failure::Unknown,
-                    reason: Refusal::NotRun,
-                },
+                Finished::Broken => Failed::unknown(),
                 Finished::Passing(started) => {
                     return Ok(pass_stream(job, started));
                 }
--- a/crates/coriandercove_router/src/proxy/job.rs
+++ b/crates/coriandercove_router/src/proxy/job.rs
@@ -74,6 +74,24 @@
     pub(super) reason: Refusal,
 }
 
+impl Failed {
+    /// An attempt that may have run.
+    pub(super) fn unknown() -> Self {
+        Self {
+            failure: Failure::Unknown,
+            reason: Refusal::NotRun,
+        }
+    }
+
+    /// An attempt of which nothing has left.
+    fn not_sent(reason: Refusal) -> Self {
+        Self {
+            failure: Failure::NotSent,
+            reason,
+        }
+    }
+}
+
 /// Where an attempt goes.
 struct Choice {
     target: TargetId,
@@ -152,10 +170,7 @@
         } = self.choose()?;
         let time_left = self.deadline.saturating_sub(self.now());
         if time_left.is_zero() {
-            return Err(Failed {
-                failure: Failure::NotSent,
-                reason: Refusal::Deadline,
-            });
+            return Err(Failed::not_sent(Refusal::Deadline));
         }
         let dispatch = Dispatch {
             target: &target,
@@ -217,10 +232,7 @@
         if is_other {
             warn!(self.router.log, "answer to another request"; "req" => &*self.head.label,
                 "first" => %address);
-            return Err(Failed {
-                failure: Failure::Unknown,
-                reason: Refusal::NotRun,
-            });
+            return Err(Failed::unknown());
         }
         if facts.is_not_run {
             let at_fault = facts.at_fault.unwrap_or(address);
@@ -235,10 +247,7 @@
         if !facts.is_stamped {
             warn!(self.router.log, "answer without a stamp"; "req" => &*self.head.label,
                 "status" => head.status.as_u16(), "first" => %address);
-            return Err(Failed {
-                failure: Failure::Unknown,
-                reason: Refusal::NotRun,
-            });
+            return Err(Failed::unknown());
         }
         Ok(Started {
             exchange,
@@ -249,10 +258,6 @@
     }
 
     fn choose(&self) -> Result<Choice, Failed> {
-        let not_sent = |reason| Failed {
-            failure: Failure::NotSent,
-            reason,
-        };
         if self.service.engine.is_some()
             && let Some(demand) = self.demand()
         {
@@ -261,7 +266,7 @@
                 .choose_path(&self.service, demand, self.first_event_limit(), None)
                 .map_err(|(reason, narrowest)| {
                     self.log_no_path(reason, narrowest, demand);
-                    not_sent(match reason {
+                    Failed::not_sent(match reason {
                         NoPath::Full => Refusal::Full,
                         NoPath::Slow => Refusal::Slow,
                         NoPath::Incomplete => Refusal::NoTarget,
@@ -280,10 +285,10 @@
         let target = self
             .router
             .choose_target(&self.service.name, &self.tried)
-            .ok_or_else(|| not_sent(Refusal::NoTarget))?;
+            .ok_or_else(|| Failed::not_sent(Refusal::NoTarget))?;
         let requests = self.router.load.borrow().total(target.address).requests;
         if requests >= target.slots.max(1) * REQUESTS_PER_SLOT {
-            return Err(not_sent(Refusal::Full));
+            return Err(Failed::not_sent(Refusal::Full));
         }
         let in_flight = InFlight::at_target(&self.router, target.address);
         Ok(Choice {
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -100,12 +100,11 @@
     job: Job,
     current: Option<Started>,
     splitter: Splitter,
-    began: Time,
-    has_event: bool,
     events: u32,
-    /// Time of the last event, to the first one, and the longest pause between two.
+    /// Time to the first event, once there is one, of the last one, and the longest pause between
+    /// two.
+    first_event: Option<Duration>,
     last_event: Time,
-    first_event: Duration,
     longest_pause: Duration,
     /// Whether the parts were asked since the last bytes came.
     is_probed: bool,
@@ -126,14 +125,12 @@
 /// A body that forwards a stream from its first attempt on.
 pub(crate) fn stream(job: Job, started: Started) -> Body {
     let relay = Relay {
-        began: job.arrived,
         job,
         current: Some(started),
         splitter: Splitter::default(),
-        has_event: false,
         events: 0,
+        first_event: None,
         last_event: Time::ZERO,
-        first_event: Duration::ZERO,
         longest_pause: Duration::ZERO,
         is_probed: false,
         may_move: true,
@@ -196,12 +193,11 @@
     /// The whole events that have arrived and that the caller lacks.
     fn whole_events(&mut self) -> Result<Option<Bytes>, &'static str> {
         let mut piece: Option<BytesMut> = None;
-        let mut single: Option<Bytes> = None;
         while let Some(event) = self.splitter.next_event() {
             match self.job.cursor.accept(event.id) {
                 Verdict::Duplicate => continue,
                 Verdict::Gap => {
-                    if single.is_none() && piece.is_none() {
+                    if piece.is_none() {
                         return Err("gap");
                     }
                     // What came before the gap is forwarded; the next read finds the stream broken.
@@ -211,17 +207,13 @@
                 }
                 Verdict::Forward => self.events += 1,
             }
-            match (&mut piece, single.take()) {
-                (Some(buf), _) => buf.extend_from_slice(&event.bytes),
-                (None, None) => single = Some(event.bytes),
-                (None, Some(first)) => {
-                    let mut buf = BytesMut::from(&first[..]);
-                    buf.extend_from_slice(&event.bytes);
-                    piece = Some(buf);
-                }
+            match &mut piece {
+                // Events that follow one another in the buffer are joined without a copy.
+                Some(buf) => buf.unsplit(event.bytes),
+                None => piece = Some(event.bytes),
             }
         }
-        let out = piece.map(BytesMut::freeze).or(single);
+        let out = piece.map(BytesMut::freeze);
         if out.is_some() {
             self.note_event();
         }
@@ -233,13 +225,12 @@
             current.in_flight.prompt_is_read();
         }
         let now = self.job.router.now();
-        if self.has_event {
+        if self.first_event.is_some() {
             let pause = now.saturating_sub(self.last_event);
             self.longest_pause = self.longest_pause.max(pause);
         } else {
-            self.has_event = true;
-            let took = now.saturating_sub(self.began);
-            self.first_event = took;
+            let took = now.saturating_sub(self.job.arrived);
+            self.first_event = Some(took);
             self.job.router.metrics.first_event(took);
         }
         self.last_event = now;
@@ -342,13 +333,14 @@
     }
 
     fn log_end(&self, end: &str) {
-        let took = self.job.router.now().saturating_sub(self.began);
+        let took = self.job.router.now().saturating_sub(self.job.arrived);
         self.job.router.metrics.answer(200, took);
         if end == "whole" {
             info!(self.job.router.log, "answered"; "req" => &*self.job.head.label, "status" => 200,
                 "events" => self.events, "ms" => took.as_millis(),
-                "first_event_ms" => self.first_event.as_millis(),
-                "longest_pause_ms" => self.longest_pause.as_millis(), "attempts" => self.job.attempts.sent + 1);
+                "first_event_ms" => self.first_event.map(|d| d.as_millis()),
+                "longest_pause_ms" => self.longest_pause.as_millis(),
+                "attempts" => self.job.attempts.sent + 1);
         } else {
             warn!(self.job.router.log, "stream broken off"; "req" => &*self.job.head.label,
                 "cause" => end, "events" => self.events, "ms" => took.as_millis());
--- a/crates/coriandercove_router/src/routes.rs
+++ b/crates/coriandercove_router/src/routes.rs
@@ -100,8 +100,6 @@
     pub activation_bytes: f64,
     /// Bandwidth between two zones, in Mbit/s.
     pub zone_link_mbps: f64,
-    /// Concurrent requests of which a target is the first part.
-    pub slots: u32,
     /// Delays between zones, one way.
     pub zone_delays: Vec<(ZoneId, ZoneId, Duration)>,
     /// Accelerators, sorted by kind.
@@ -125,8 +123,6 @@
 pub struct Service {
     /// Name.
     pub name: ServiceId,
-    /// Path of the health check.
-    pub health_path: Arc<str>,
     /// Connections that one target accepts from all callers together.
     pub max_connections: u32,
     /// Present for model engines.
--- a/crates/coriandercove_router/src/sse.rs
+++ b/crates/coriandercove_router/src/sse.rs
@@ -1,6 +1,6 @@
 //! Splits a stream of server-sent events, so that only whole events are forwarded.
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 
 /// Largest event that is buffered; a longer one is an error of the target.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
     /// Bytes as they came.
-    pub bytes: Bytes,
+    pub bytes: BytesMut,
     /// Value of its `id` field, if it is a number.
     pub id: Option<u64>,
 }
@@ -46,7 +46,7 @@
             self.scanned = self.buf.len().saturating_sub(3);
             return None;
         };
-        let bytes = self.buf.split_to(end).freeze();
+        let bytes = self.buf.split_to(end);
         self.scanned = 0;
         let id = event_id(&bytes);
         Some(Event { bytes, id })
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -157,12 +157,7 @@
         first: Option<&Hop>,
     ) -> Result<Path, (NoPath, Narrowest)> {
         let Some(engine) = &service.engine else {
-            let nothing = Narrowest {
-                layer: 0,
-                holders: 0,
-                with_room: 0,
-            };
-            return Err((NoPath::Incomplete, nothing));
+            return Err((NoPath::Incomplete, Narrowest::default()));
         };
         let fleet = self.fleet.borrow();
         let load = self.load.borrow();
--- a/crates/coriandercove_router/src/suspects.rs
+++ b/crates/coriandercove_router/src/suspects.rs
@@ -53,6 +53,12 @@
         self.targets.remove(&target).is_some()
     }
 
+    /// Forgets failures that are too old to count.
+    pub fn expire(&mut self, now: Time) {
+        self.targets
+            .retain(|_, s| now.saturating_sub(s.last_failure) <= FORGET_AFTER);
+    }
+
     /// Whether the target gets no new work now.
     #[must_use]
     pub fn is_excluded(&self, target: SocketAddr, now: Time) -> bool {
--- a/crates/coriandercove_router/src/upstream.rs
+++ b/crates/coriandercove_router/src/upstream.rs
@@ -134,22 +134,7 @@
     request: Request<Bytes>,
     timeout: Duration,
 ) -> Result<Answer, ExchangeError> {
-    let exchange = async {
-        let exchange = send(to, request).await?;
-        let body = read_body(exchange.body, MAX_CALL_BYTES).await?;
-        Ok(Answer {
-            status: exchange.head.status,
-            headers: exchange.head.headers,
-            body,
-        })
-    };
-    tokio::time::timeout(timeout, exchange)
-        .await
-        .unwrap_or_else(|_| {
-            Err(ExchangeError::Broken {
-                problem: format!("{to}: no answer within {timeout:?}"),
-            })
-        })
+    Channel::new(to).call(request, timeout).await
 }
 
 /// A kept connection to one address for calls that follow one another.
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -161,7 +161,6 @@
         cfg.route(route("resumable", Repeat::ResumableStream));
         cfg.service(Service {
             name: "service".into(),
-            health_path: "/health".into(),
             max_connections: 100,
             engine: None,
         });
