Count a stream as in flight until its end

The count ended with the head of the answer, so the gauge and the line at a stop left out streams whose events were still forwarded. One value now counts a request and notes a caller that left. The test failed before.

--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -24,7 +24,7 @@
 use crate::sse::Cursor;
 use crate::state::Router;
 
-use accounting::{Counted, Watched};
+use accounting::Watched;
 use job::{Failed, Finished};
 pub(crate) use job::{Job, LostPart, Started};
 
@@ -47,7 +47,6 @@
     let arrived = router.now();
     router.metrics.requests.inc();
     router.budget.borrow_mut().on_request(arrived);
-    let _counted = Counted::begin(&router);
     let head = router.dialect.caller_head(req.headers());
     let label = Arc::clone(&head.label);
     let answer = match admit(&router, req, head, arrived).await {
--- a/crates/coriandercove_router/src/proxy/accounting.rs
+++ b/crates/coriandercove_router/src/proxy/accounting.rs
@@ -31,7 +31,8 @@
     }
 }
 
-/// Logs a request whose caller left before its answer was complete.
+/// Counts a request from its arrival until its answer is complete, and logs a caller that left
+/// before.
 pub(crate) struct Watched {
     router: Rc<Router>,
     label: RequestLabel,
@@ -41,6 +42,8 @@
 
 impl Watched {
     pub(super) fn new(router: &Rc<Router>, label: &RequestLabel, arrived: Time) -> Self {
+        router.in_flight.set(router.in_flight.get() + 1);
+        router.metrics.in_flight.inc();
         Self {
             router: Rc::clone(router),
             label: RequestLabel::clone(label),
@@ -56,6 +59,8 @@
 
 impl Drop for Watched {
     fn drop(&mut self) {
+        self.router.in_flight.set(self.router.in_flight.get() - 1);
+        self.router.metrics.in_flight.dec();
         if !self.is_done {
             let took = self.router.now().saturating_sub(self.arrived);
             self.router.metrics.cancelled.inc();
@@ -64,21 +69,3 @@
         }
     }
 }
-
-/// Counts a request while it is served.
-pub(super) struct Counted(Rc<Router>);
-
-impl Counted {
-    pub(super) fn begin(router: &Rc<Router>) -> Self {
-        router.in_flight.set(router.in_flight.get() + 1);
-        router.metrics.in_flight.inc();
-        Self(Rc::clone(router))
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-        self.0.metrics.in_flight.dec();
-    }
-}
--- a/crates/coriandercove_router/tests/proxy.rs
+++ b/crates/coriandercove_router/tests/proxy.rs
@@ -294,3 +294,23 @@
     let mut caller = entry.request("/once/x", CLOSE).await;
     assert_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 503"));
 }
+
+/// Guards against streams that are not counted while their events are forwarded, so that a stop
+/// would be logged as idle.
+#[actix_rt::test]
+async fn a_stream_is_in_flight_until_its_end() {
+    let (address, _) = target(|_, _, mut stream| async move {
+        let chunk = |id| format!("{:x}\r\n{}\r\n", event(id).len(), event(id));
+        let head = format!("{OK}transfer-encoding: chunked\r\n\r\n");
+        write(&mut stream, &format!("{head}{}", chunk(1))).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        write(&mut stream, &format!("{}0\r\n\r\n", chunk(2))).await;
+    })
+    .await;
+    let entry = Entry::start(&[address]).await;
+    let mut caller = entry.request("/resumable/x", CLOSE).await;
+    read_until(&mut caller, "id: 1").await;
+    assert_that!(entry.router.in_flight.get(), eq(1));
+    read_all(&mut caller).await;
+    assert_that!(entry.router.in_flight.get(), eq(0));
+}
