Give up members that stay silent after their zone has returned

Cause: a member whose zone fell silent became unreachable, and nothing but its own return changed that. Change: an unreachable member that is silent for the usual time after its zone is heard again is dead. Each entry decides that by itself, since a rumour of a death does not undo one of a silent zone. Ruled out: rumours that get lost (with two entries both observe every member, and differing tables are compared every 5 s). The test failed before (unreachable where dead is expected) and passes; the fuzzing of membership passes.

--- a/crates/coriandercove_state/src/membership/detector.rs
+++ b/crates/coriandercove_state/src/membership/detector.rs
@@ -30,6 +30,7 @@
         self.find_silent(now);
         self.find_silent_zones(now);
         self.give_up_silent(now);
+        self.give_up_unreachable(now);
         self.forget(now);
         self.tick_gossip(now);
     }
@@ -42,7 +43,12 @@
             return;
         }
         for member in self.table.members.values_mut() {
-            for time in [&mut member.heard, &mut member.silent, &mut member.observed] {
+            for time in [
+                &mut member.heard,
+                &mut member.silent,
+                &mut member.observed,
+                &mut member.zone_heard,
+            ] {
                 *time = time.map(|t| t + gap);
             }
         }
@@ -203,6 +209,26 @@
         }
     }
 
+    /// Gives up unreachable members that stay silent after their zone has returned. Each entry
+    /// does so by itself, because a rumour of a death does not undo one of a silent zone.
+    fn give_up_unreachable(&mut self, now: Time) {
+        let after = self.cfg.dead_after;
+        let alone = self.mostly_silent(now);
+        let mut due = Vec::new();
+        for (key, member) in &mut self.table.members {
+            let is_excused = alone || self.silent_zones.contains(&*member.record.info.zone);
+            if member.record.liveness != Liveness::Unreachable || is_excused {
+                member.zone_heard = None;
+            } else if *member.zone_heard.get_or_insert(now) + after <= now {
+                due.push(*key);
+            }
+        }
+        for key in due {
+            self.counters.deaths += 1;
+            self.set_liveness(key, Liveness::Dead);
+        }
+    }
+
     /// Whether most of the members that this entry observes fell silent lately. Then it is more
     /// likely that this entry is cut off than that all of them died.
     fn mostly_silent(&self, now: Time) -> bool {
--- a/crates/coriandercove_state/src/membership/table.rs
+++ b/crates/coriandercove_state/src/membership/table.rs
@@ -24,6 +24,8 @@
     pub(super) patience: u32,
     /// Time at which the member stopped being alive, as this node learned it.
     pub(super) silent: Option<Time>,
+    /// Since when its zone is heard again while the member itself is unreachable.
+    pub(super) zone_heard: Option<Time>,
     /// Datagrams that should still carry the member's state.
     pub(super) hot: u32,
     /// Whether these carry its info as well.
@@ -45,6 +47,7 @@
             heard: None,
             patience: 1,
             silent,
+            zone_heard: None,
             hot: 0,
             hot_info: false,
             shown: None,
--- a/crates/coriandercove_state/src/membership/tests.rs
+++ b/crates/coriandercove_state/src/membership/tests.rs
@@ -123,6 +123,36 @@
     expect_that!(entry.state("a"), some(eq(State::Dead)));
 }
 
+/// Guards against a member that died while its zone was silent and stays unreachable, and thus in
+/// use, after the others of its zone have returned.
+#[gtest]
+fn member_that_stays_silent_after_its_zone_returned_is_dead() {
+    const ZONE: [&str; 5] = ["a", "b", "c", "d", "e"];
+    let beats = |entry: &mut EntryMembership, names: &[&str], second: u64| {
+        for name in names {
+            let now = Duration::from_secs(second);
+            receive(entry, now, &Message::Heartbeat(beat(name, 5, second)));
+        }
+        run(entry, second, second + 1);
+    };
+    let mut entry = entry();
+    run(&mut entry, 0, 1);
+    for second in 1..4 {
+        beats(&mut entry, &ZONE, second);
+    }
+    run(&mut entry, 4, 14);
+    for name in ZONE {
+        expect_that!(entry.state(name), some(eq(State::Unreachable)), "{name}");
+    }
+    for second in 14..21 {
+        beats(&mut entry, &ZONE[..4], second);
+    }
+    for name in &ZONE[..4] {
+        expect_that!(entry.state(name), some(eq(State::Alive)), "{name}");
+    }
+    expect_that!(entry.state("e"), some(eq(State::Dead)));
+}
+
 /// Guards against a process that was paused and takes its own deafness for others' death.
 #[gtest]
 fn paused_entry_suspects_nobody_on_resuming() {
