Write log lines together, and measure what was missing

Change: lines are formatted into a bounded buffer, which a thread writes every 0.2 s; an orderly stop flushes it. Limits of lines are settings. New metrics: time before sending, longest pause of a stream, time of platform calls, age of what is known, requests and KV cache by target. A test compares the list of metrics in docs/OPERATIONS.md with the code. Ruled out: the number and size of lines, which did not change.

--- a/crates/coriandercove_base/src/telemetry.rs
+++ b/crates/coriandercove_base/src/telemetry.rs
@@ -1,8 +1,8 @@
 //! Logging and metrics.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+pub mod lines;
+
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -43,97 +43,6 @@
     }
 }
 
-/// Lines of successes that one process writes in a second; the budget of a busy entry's processor
-/// allows a few hundred.
-const INFO_LINES_PER_SECOND: u32 = 200;
-/// Lines of refusals and failures in a second; kept before successes.
-const WARN_LINES_PER_SECOND: u32 = 300;
-
-/// A logger that writes one JSON object a line to standard output from a thread of its own.
-///
-/// Neither a reader that stops reading nor a flood of lines blocks the caller: lines beyond the
-/// budget of a second or beyond the queue are dropped. The number of the former is returned by
-/// [`Omitted::take`], that of the latter is logged by the queue itself.
-pub fn lines() -> (Logger, Omitted) {
-    let omitted = Omitted::default();
-    let drain = LineBudget {
-        inner: background(slog_json::Json::default(std::io::stdout()).fuse()),
-        window: Mutex::new(Window::default()),
-        omitted: omitted.clone(),
-    };
-    (Logger::root(drain.fuse(), o!()), omitted)
-}
-
-/// Number of lines that were left out.
-#[derive(Debug, Clone, Default)]
-pub struct Omitted(Arc<AtomicU64>);
-
-impl Omitted {
-    /// Lines left out since the last call.
-    #[must_use]
-    pub fn take(&self) -> u64 {
-        self.0.swap(0, Ordering::Relaxed)
-    }
-}
-
-/// Lines written in the current second.
-#[derive(Debug, Default)]
-struct Window {
-    began: Option<Instant>,
-    info: u32,
-    warn: u32,
-}
-
-impl Window {
-    /// Whether one more line of this level fits.
-    fn admit(&mut self, level: slog::Level, now: Instant) -> bool {
-        let is_over = self
-            .began
-            .is_none_or(|at| now.duration_since(at) >= Duration::from_secs(1));
-        if is_over {
-            *self = Self {
-                began: Some(now),
-                ..Self::default()
-            };
-        }
-        let (count, most) = if level.is_at_least(slog::Level::Warning) {
-            (&mut self.warn, WARN_LINES_PER_SECOND)
-        } else {
-            (&mut self.info, INFO_LINES_PER_SECOND)
-        };
-        *count += 1;
-        *count <= most
-    }
-}
-
-/// Passes on as many lines in a second as the budget of their level allows.
-struct LineBudget {
-    inner: Logger,
-    window: Mutex<Window>,
-    omitted: Omitted,
-}
-
-impl Drain for LineBudget {
-    type Ok = ();
-    type Err = slog::Never;
-
-    fn log(
-        &self,
-        record: &slog::Record<'_>,
-        values: &slog::OwnedKVList,
-    ) -> Result<(), slog::Never> {
-        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_admitted = window.admit(record.level(), Instant::now());
-        drop(window);
-        if is_admitted {
-            Drain::log(&self.inner, record, values)
-        } else {
-            self.omitted.0.fetch_add(1, Ordering::Relaxed);
-            Ok(())
-        }
-    }
-}
-
 /// Writes an error to standard error; returns the exit code of a failed start.
 #[must_use]
 pub fn fail(problem: &impl std::fmt::Display) -> std::process::ExitCode {
@@ -162,6 +71,9 @@
 /// A counter for each value of one label, such as the reason of a refusal.
 pub type CounterFamily = Family<[(&'static str, String); 1], Counter>;
 
+/// A gauge for each value of one label, such as a target.
+pub type GaugeFamily = Family<[(&'static str, String); 1], Gauge>;
+
 /// The metrics of one process, by name, encoded for Prometheus on demand.
 #[derive(Clone)]
 pub struct Metrics {
@@ -205,6 +117,14 @@
         gauge
     }
 
+    /// Registers a gauge with one label.
+    #[must_use]
+    pub fn gauges(&self, name: &str, help: &str) -> GaugeFamily {
+        let family = GaugeFamily::default();
+        self.with(|r| r.register(name, help, family.clone()));
+        family
+    }
+
     /// Registers a histogram of seconds with buckets from 0.5 ms to about 65 s.
     #[must_use]
     pub fn seconds(&self, name: &str, help: &str) -> Histogram {
@@ -227,6 +147,3 @@
 pub fn count(family: &CounterFamily, key: &'static str, value: &str) {
     family.get_or_create(&[(key, value.to_owned())]).inc();
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/coriandercove_router/src/events.rs
+++ b/crates/coriandercove_router/src/events.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coriandercove_base::telemetry::{CounterFamily, Metrics, count};
+use coriandercove_base::telemetry::{CounterFamily, GaugeFamily, Metrics, count};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
@@ -42,8 +42,17 @@
     pub in_flight: Gauge,
     /// Entries heard of.
     pub peers: Gauge,
+    /// Time since the platform last answered, by topic.
+    platform_age: GaugeFamily,
+    /// Requests of all entries at each target.
+    target_requests: GaugeFamily,
+    /// Share of each engine's KV cache that is reserved.
+    target_kv: GaugeFamily,
+    before_sending: Histogram,
     first_event: Histogram,
+    event_gap: Histogram,
     whole_answer: Histogram,
+    platform_call: Histogram,
 }
 
 impl Default for RouterMetrics {
@@ -65,6 +74,27 @@
             targets: m.gauge("targets", "Targets listed"),
             in_flight: m.gauge("requests_in_flight", "Requests in flight"),
             peers: m.gauge("peers", "Other entries heard of"),
+            platform_age: m.gauges(
+                "platform_age_milliseconds",
+                "Time since the platform last answered by topic",
+            ),
+            target_requests: m.gauges(
+                "target_requests",
+                "Requests of all entries in flight by target",
+            ),
+            target_kv: m.gauges(
+                "target_kv_percent",
+                "Reserved share of the KV cache by target",
+            ),
+            before_sending: m.seconds(
+                "before_sending_seconds",
+                "Time from arrival to the first attempt",
+            ),
+            event_gap: m.seconds("event_gap_seconds", "Longest pause of each stream"),
+            platform_call: m.seconds(
+                "platform_call_seconds",
+                "Time of lists, and of watches beyond their wait",
+            ),
             first_event: m.seconds("first_event_seconds", "Time to the first event of a stream"),
             whole_answer: m.seconds("answer_seconds", "Time to the end of an answer"),
             registry: m,
@@ -118,4 +148,52 @@
     pub fn first_event(&self, took: Duration) {
         self.first_event.observe(took.as_secs_f64());
     }
+
+    /// Takes the time from a request's arrival to its first attempt in.
+    pub fn before_sending(&self, took: Duration) {
+        self.before_sending.observe(took.as_secs_f64());
+    }
+
+    /// Takes the longest pause of a stream in.
+    pub fn event_gap(&self, longest: Duration) {
+        self.event_gap.observe(longest.as_secs_f64());
+    }
+
+    /// Takes the time of an answered call to the platform in.
+    pub fn platform_call(&self, took: Duration) {
+        self.platform_call.observe(took.as_secs_f64());
+    }
+
+    /// Sets the time since the platform last answered for a topic.
+    pub fn platform_age(&self, topic: &str, age: Duration) {
+        let ms = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
+        let label = [("topic", topic.to_owned())];
+        self.platform_age.get_or_create(&label).set(ms);
+    }
+
+    /// Sets what is in flight at each target; those that are not given are forgotten.
+    pub fn targets_in_flight<'a>(&self, targets: impl Iterator<Item = TargetGauges<'a>>) {
+        self.target_requests.clear();
+        self.target_kv.clear();
+        for target in targets {
+            let label = [("target", target.id.to_owned())];
+            self.target_requests
+                .get_or_create(&label)
+                .set(target.requests.into());
+            if let Some(percent) = target.kv_percent {
+                self.target_kv.get_or_create(&label).set(percent);
+            }
+        }
+    }
+}
+
+/// What is in flight at one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetGauges<'a> {
+    /// The target.
+    pub id: &'a str,
+    /// Requests of all entries.
+    pub requests: u32,
+    /// Reserved share of its KV cache; none without one.
+    pub kv_percent: Option<i64>,
 }
--- a/crates/coriandercove_router/src/front.rs
+++ b/crates/coriandercove_router/src/front.rs
@@ -174,6 +174,7 @@
     let (status, body) = if *req.method() != Method::GET {
         (StatusCode::METHOD_NOT_ALLOWED, String::new())
     } else if path == METRICS_PATH {
+        router.refresh_gauges();
         (StatusCode::OK, router.metrics.registry.encode())
     } else if path != router.dialect.readiness_path() {
         (StatusCode::NOT_FOUND, String::new())
--- a/crates/coriandercove_router/src/heard.rs
+++ b/crates/coriandercove_router/src/heard.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::Notify;
 
-use coriandercove_base::data;
+use coriandercove_base::{Time, data};
 
 use crate::dialect::Topic;
 
@@ -51,6 +51,8 @@
     changes: Cell<Revisions>,
     /// Highest changes that some peer saw.
     peers: Cell<Revisions>,
+    /// When the platform last answered for the configuration and for the targets.
+    answered: Cell<(Time, Time)>,
     changed: Notify,
 }
 
@@ -65,6 +67,26 @@
         }
     }
 
+    /// Notes that the platform answered for a topic.
+    pub fn on_answer(&self, topic: Topic, now: Time) {
+        let mut answered = self.answered.get();
+        match topic {
+            Topic::Configuration => answered.0 = now,
+            Topic::Targets => answered.1 = now,
+        }
+        self.answered.set(answered);
+    }
+
+    /// When the platform last answered for a topic; the start if it never did.
+    #[must_use]
+    pub fn answered(&self, topic: Topic) -> Time {
+        let (configuration, targets) = self.answered.get();
+        match topic {
+            Topic::Configuration => configuration,
+            Topic::Targets => targets,
+        }
+    }
+
     /// Last changes that this entry saw.
     #[must_use]
     pub fn changes(&self) -> Revisions {
--- a/crates/coriandercove_router/src/process.rs
+++ b/crates/coriandercove_router/src/process.rs
@@ -10,7 +10,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use coriandercove_base::rng;
-use coriandercove_base::telemetry::Omitted;
+use coriandercove_base::telemetry::lines::Lines;
 use coriandercove_base::timer::TimerService;
 
 use crate::dialect::{Dialect, Directory, Topic};
@@ -32,6 +32,9 @@
 /// Time between two lines that tell how many lines were left out.
 const OMITTED_PERIOD: Duration = Duration::from_secs(5);
 
+/// Longest wait at the stop for a reader of standard output; below [`EXIT_MARGIN`].
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+
 /// Why an entry does not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -72,7 +75,7 @@
     dialect: Rc<dyn Dialect>,
     directory: Rc<dyn Directory>,
     log: Logger,
-    omitted: Omitted,
+    lines: Lines,
 ) -> Result<(), StartError> {
     let callers = listen("callers", settings.callers).await?;
     let readiness = listen("readiness", settings.readiness).await?;
@@ -95,8 +98,8 @@
     let (peers, _sending) = Peers::start(Rc::clone(&router), socket, &timers);
     let _placing = Placer::start(Rc::clone(&router), peers, &timers);
     let _omitted = {
-        let router = Rc::clone(&router);
-        timers.subscribe(OMITTED_PERIOD, move || report_omitted(&router, &omitted))
+        let (router, lines) = (Rc::clone(&router), lines.clone());
+        timers.subscribe(OMITTED_PERIOD, move || report_omitted(&router, &lines))
     };
     let front = Front::new(Rc::clone(&router));
     actix_rt::spawn(Rc::clone(&front).accept(callers));
@@ -117,14 +120,16 @@
         }
     }
     stop(&router, &front).await;
+    // A reader that does not read by then loses the last lines; nobody else is left to tell.
+    let _ = lines.flush(FLUSH_LIMIT);
     Ok(())
 }
 
-fn report_omitted(router: &Router, omitted: &Omitted) {
-    let lines = omitted.take();
-    if lines > 0 {
-        router.metrics.omitted_lines.inc_by(lines);
-        warn!(router.log, "lines left out"; "lines" => lines);
+fn report_omitted(router: &Router, lines: &Lines) {
+    let omitted = lines.take_omitted();
+    if omitted > 0 {
+        router.metrics.omitted_lines.inc_by(omitted);
+        warn!(router.log, "lines left out"; "lines" => omitted);
     }
 }
 
--- a/crates/coriandercove_router/src/proxy/job.rs
+++ b/crates/coriandercove_router/src/proxy/job.rs
@@ -184,6 +184,10 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.router.dialect.target_headers(&self.headers, &dispatch);
+        if self.tried.is_empty() {
+            let waited = self.now().saturating_sub(self.arrived);
+            self.router.metrics.before_sending(waited);
+        }
         self.tried.push(address);
         info!(self.router.log, "sent"; "req" => &*self.head.label, "route" => &*self.route.name,
             "account" => self.account.as_deref(), "target" => &*target, "first" => %address,
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -335,6 +335,7 @@
     fn log_end(&self, end: &str) {
         let took = self.job.router.now().saturating_sub(self.job.arrived);
         self.job.router.metrics.answer(200, took);
+        self.job.router.metrics.event_gap(self.longest_pause);
         if end == "whole" {
             info!(self.job.router.log, "answered"; "req" => &*self.job.head.label, "status" => 200,
                 "events" => self.events, "ms" => took.as_millis(),
--- a/crates/coriandercove_router/src/settings.rs
+++ b/crates/coriandercove_router/src/settings.rs
@@ -6,6 +6,7 @@
 
 use snafu::{ResultExt, Snafu, ensure};
 
+use coriandercove_base::telemetry::lines::LineLimits;
 use coriandercove_base::{NodeId, ZoneId};
 
 /// Settings of an entry, read from a YAML file.
@@ -42,6 +43,9 @@
     pub retry_slack: f64,
     /// Length of the window, in seconds.
     pub retry_window_seconds: f64,
+    /// Most log lines in a second.
+    #[serde(default)]
+    pub log: LineLimits,
 }
 
 /// Why settings are not usable.
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -12,8 +12,8 @@
 use coriandercove_base::{Clock, MonotonicClock, Time};
 
 use crate::budget::RetryBudget;
-use crate::dialect::Dialect;
-use crate::events::RouterMetrics;
+use crate::dialect::{Dialect, Topic};
+use crate::events::{RouterMetrics, TargetGauges};
 use crate::fleet::{Fleet, LayerRange, Target};
 use crate::heard::Heard;
 use crate::layout;
@@ -145,6 +145,34 @@
         self.placements.borrow().layers(target)
     }
 
+    /// Brings the gauges of what is known and in flight up to date, before they are read.
+    pub fn refresh_gauges(&self) {
+        let now = self.now();
+        for topic in [Topic::Configuration, Topic::Targets] {
+            let age = now.saturating_sub(self.heard.answered(topic));
+            self.metrics.platform_age(topic.as_str(), age);
+        }
+        let (fleet, load) = (self.fleet.borrow(), self.load.borrow());
+        let cfg = self.configuration();
+        let gauges = fleet.iter().map(|t| {
+            let work = load.total(t.address);
+            let capacity = cfg.as_ref().and_then(|cfg| {
+                let engine = cfg.service(&t.service)?.engine.as_ref()?;
+                let accelerator = engine.accelerator(&t.accelerator)?;
+                let layers = self.layers(t)?;
+                Some(layout::kv_capacity(engine, accelerator, layers.len()))
+            });
+            TargetGauges {
+                id: &t.id,
+                requests: work.requests,
+                kv_percent: capacity
+                    .filter(|c| *c > 0)
+                    .map(|c| (work.kv * 100 / c).cast_signed()),
+            }
+        });
+        self.metrics.targets_in_flight(gauges);
+    }
+
     /// Chooses a path for a model request, from its first part on if it has one.
     ///
     /// # Errors
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -70,14 +70,15 @@
 impl Follower {
     async fn step(&mut self) {
         let known = self.revision;
+        let began = self.router.now();
+        let wait = if self.lapsed.is_empty() {
+            self.watch_time()
+        } else {
+            LAPSE_WATCH
+        };
         let result = match known {
             None => self.directory.list(self.topic).await,
             Some(after) => {
-                let wait = if self.lapsed.is_empty() {
-                    self.watch_time()
-                } else {
-                    LAPSE_WATCH
-                };
                 tokio::select! {
                     result = self.directory.changes(self.topic, after, wait) => result,
                     () = self.router.heard.is_behind(self.topic) => {
@@ -91,6 +92,14 @@
         };
         match result {
             Ok(batch) => {
+                // A watch that a change ends early says nothing of the platform's speed.
+                let took = self.router.now().saturating_sub(began);
+                let expected = known.map_or(Duration::ZERO, |_| wait);
+                if known.is_none() || took >= wait {
+                    self.router
+                        .metrics
+                        .platform_call(took.saturating_sub(expected));
+                }
                 self.on_answer();
                 let has_items = !batch.items.is_empty();
                 self.apply(batch, known.is_none());
@@ -130,6 +139,7 @@
 
     fn on_answer(&mut self) {
         let now = self.router.now();
+        self.router.heard.on_answer(self.topic, now);
         if let Some(since) = self.failed_since.take() {
             let outage = now.saturating_sub(since);
             info!(self.router.log, "platform regained"; "topic" => self.topic.as_str(),
--- /dev/null
+++ b/crates/coriandercove_router/tests/metrics.rs
@@ -0,0 +1,48 @@
+//! The metrics of an entry and the page that explains them.
+
+use std::path::Path;
+use std::time::Duration;
+
+use coriandercove_router::events::{RouterMetrics, TargetGauges};
+
+/// All metrics; families appear once they have a label.
+fn with_each_label() -> String {
+    let m = RouterMetrics::default();
+    m.answer(200, Duration::ZERO);
+    m.refusal("full");
+    m.repeat("not_run");
+    m.continuation("silence");
+    m.exclusion("probe");
+    m.platform_error("targets");
+    m.unreadable("targets");
+    m.order("accepted");
+    m.platform_age("targets", Duration::ZERO);
+    m.targets_in_flight(std::iter::once(TargetGauges {
+        id: "t",
+        requests: 0,
+        kv_percent: Some(0),
+    }));
+    m.registry.encode()
+}
+
+/// Guards against a metric that operators cannot look up, and against one that is explained but no
+/// longer exists.
+#[test]
+fn operations_page_lists_each_metric() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
+    let page = std::fs::read_to_string(page).expect("the page");
+    let listed: Vec<&str> = page
+        .lines()
+        .skip_while(|l| *l != "### Metrics of an entry")
+        .skip(1)
+        .take_while(|l| !l.starts_with('#'))
+        .filter_map(|l| l.strip_prefix("| `")?.split('`').next())
+        .collect();
+    let metrics = with_each_label();
+    let existing: Vec<&str> = metrics
+        .lines()
+        .filter_map(|l| l.strip_prefix("# TYPE coriandercove_")?.split(' ').next())
+        .collect();
+    assert!(!existing.is_empty());
+    assert_eq!(listed, existing, "names in docs/OPERATIONS.md, in order");
+}
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -16,6 +16,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use coriandercove_base::telemetry::lines::LineLimits;
 use coriandercove_base::{rng, telemetry};
 use coriandercove_router::dialect::{
     AnswerFacts, CallerHead, Dialect, Dispatch, Malformed, PlaceOrder, Report,
@@ -118,6 +119,7 @@
         retry_ratio: 0.2,
         retry_slack: 100.0,
         retry_window_seconds: 10.0,
+        log: LineLimits::default(),
     }
 }
 
