--- a/crates/coriandercove_router/src/layout/tests.rs
+++ b/crates/coriandercove_router/src/layout/tests.rs
@@ -23,6 +23,7 @@
         step_per_sequence_ms: 0.00714,
         step_per_context_ms: 0.00956,
         prefill_per_ms: 105.0,
+        prefill_chunk: 512.0,
         usual_prompt: 774.0,
         usual_answer: 204.0,
         activation_bytes: 45_900.0,
--- a/crates/coriandercove_router/src/lib.rs
+++ b/crates/coriandercove_router/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod placer;
 pub mod process;
 pub mod proxy;
+pub mod pulse;
 pub mod relay;
 pub mod routes;
 pub mod settings;
--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -4,6 +4,11 @@
 //! them: the choice minimises the expected time of the whole answer over every cover of the layers,
 //! counts the prompts that wait to be read at each part, and leaves out parts whose KV cache has no
 //! room for the request.
+//!
+//! Also answers the one in which a part dies under many streams, and all of them must be led around
+//! it at the same moment: parts that hold a stream's tokens already are kept, as only the new parts
+//! have to read them, and the new ones are spread by a random handicap, because the entries that
+//! choose do not know of each other's choice yet.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -55,6 +60,8 @@
     pub prefill_factor: f64,
     /// Work in flight.
     pub work: Work,
+    /// Factor on the expected time of work that is new to it; 1 without a handicap.
+    pub handicap: f64,
 }
 
 /// What a request needs.
@@ -87,8 +94,18 @@
     pub entry_zone: &'a str,
     /// Longest expected time to the first event.
     pub first_event_limit: Duration,
-    /// The first part, where a running request keeps it.
-    pub first: Option<&'a Hop>,
+    /// The path of a request that runs already; its first part stays.
+    pub running: Option<&'a [Hop]>,
+}
+
+impl View<'_> {
+    /// Whether a part runs these layers for the request already, so that it holds its tokens.
+    fn is_kept(&self, candidate: &Candidate, (start, end): (u16, u16)) -> bool {
+        self.running.is_some_and(|hops| {
+            let mut hops = hops.iter();
+            hops.any(|h| h.address == candidate.address && h.layers == LayerRange::new(start, end))
+        })
+    }
 }
 
 /// One part of a path.
@@ -180,10 +197,10 @@
         engine, candidates, ..
     } = view;
     let mut bounds = boundaries(engine, candidates);
-    if let Some(first) = view.first
-        && let Err(i) = bounds.binary_search(&first.layers.end)
-    {
-        bounds.insert(i, first.layers.end);
+    for hop in view.running.unwrap_or_default() {
+        if let Err(i) = bounds.binary_search(&hop.layers.end) {
+            bounds.insert(i, hop.layers.end);
+        }
     }
     let mut nodes: Vec<Node> = Vec::new();
     // The best node for each boundary and zone of the last part.
@@ -204,10 +221,6 @@
                 if before.is_some_and(|n| n.candidate == i) {
                     continue;
                 }
-                let (link, wait) = link_cost(view, before, candidate, demand);
-                if needs_room && link.is_infinite() {
-                    continue;
-                }
                 for (e, &end) in bounds.iter().enumerate().skip(b + 1) {
                     if end > candidate.layers.end {
                         break;
@@ -215,12 +228,20 @@
                     if needs_room && b == 0 && !may_begin(view, candidate, end) {
                         continue;
                     }
-                    if needs_room && !has_room(candidate, demand, end - at) {
-                        break;
+                    let is_kept = view.is_kept(candidate, (at, end));
+                    let has_room = is_kept || has_room(candidate, demand, end - at);
+                    if needs_room && !has_room {
+                        continue;
+                    }
+                    let (link, wait) = link_cost(view, before, candidate, demand, is_kept);
+                    if needs_room && link.is_infinite() {
+                        continue;
                     }
                     let (read, decode) = part_cost(engine, candidate, demand, end - at);
+                    let read = if is_kept { 0.0 } else { read };
+                    let factor = if is_kept { 1.0 } else { candidate.handicap };
                     let node = Node {
-                        cost: before.map_or(0.0, |n| n.cost) + link + read + decode,
+                        cost: before.map_or(0.0, |n| n.cost) + link + (read + decode) * factor,
                         first_event: before.map_or(0.0, |n| n.first_event) + wait + read,
                         candidate: i,
                         start: at,
@@ -245,7 +266,7 @@
 
 /// Whether a path may begin with this part up to the layer `end`.
 fn may_begin(view: View<'_>, candidate: &Candidate, end: u16) -> bool {
-    match view.first {
+    match view.running.and_then(<[Hop]>::first) {
         Some(f) => f.address == candidate.address && f.layers.end == end,
         None => {
             let limit = f64::from(candidate.slots) * SLOT_SHARE;
@@ -293,12 +314,19 @@
     let all = f64::from(engine.layers);
     let own_read = f64::from(demand.prompt) * f64::from(layers);
     let unread = part.work.unread as f64 + own_read;
-    let read = unread * part.prefill_factor / (engine.prefill_per_ms * all);
     let running = f64::from(part.work.requests + 1);
     let context = (engine.usual_prompt + engine.usual_answer / 2.0) / 1000.0;
     let per_sequence = engine.step_per_sequence_ms + engine.step_per_context_ms * context;
     let step = engine.step.as_secs_f64() * 1e3 + per_sequence * running;
     let share = f64::from(layers) / all;
+    // While others decode, each of their steps takes a bounded piece of the prompts along.
+    let pieces = unread / f64::from(layers) / engine.prefill_chunk;
+    let between = if part.work.requests > 0 {
+        pieces * step * share * part.decode_factor
+    } else {
+        0.0
+    };
+    let read = unread * part.prefill_factor / (engine.prefill_per_ms * all) + between;
     let occupancy = part.work.kv as f64 / (part.kv_capacity as f64).max(1.0);
     let pressure = 1.0 + OCCUPANCY_WEIGHT * occupancy * occupancy;
     let token = share * part.decode_factor * step * pressure + PART_OVERHEAD_MS;
@@ -306,8 +334,14 @@
 }
 
 /// Cost of the link into a part, and the part of it that delays the first event, in ms. The cost is
-/// infinite if the link takes no more prompts.
-fn link_cost(view: View<'_>, before: Option<Node>, part: &Candidate, demand: Demand) -> (f64, f64) {
+/// infinite if the link takes no more prompts. No prompt crosses into a part that holds the tokens.
+fn link_cost(
+    view: View<'_>,
+    before: Option<Node>,
+    part: &Candidate,
+    demand: Demand,
+    is_kept: bool,
+) -> (f64, f64) {
     let Some(before) = before else {
         let is_remote = *part.zone != *view.entry_zone;
         let cost = if is_remote { REMOTE_FIRST_PART_MS } else { 0.0 };
@@ -327,6 +361,9 @@
     let under_way = view.load.transfers(&zone_pair(from, &part.zone)) as f64 * token;
     let answer = f64::from(demand.answer);
     let per_token = delay + token + under_way * LINK_WAIT;
+    if is_kept {
+        return (per_token * answer, delay);
+    }
     let prompt = f64::from(demand.prompt) * token;
     let wait = under_way + prompt + delay;
     if under_way > LINK_LIMIT_MS {
--- a/crates/coriandercove_router/src/path/tests.rs
+++ b/crates/coriandercove_router/src/path/tests.rs
@@ -17,6 +17,7 @@
         decode_factor,
         prefill_factor: 3.0,
         work: Work::default(),
+        handicap: 1.0,
     }
 }
 
@@ -33,7 +34,7 @@
         load,
         entry_zone: "a",
         first_event_limit: Duration::from_secs(1),
-        first: None,
+        running: None,
     };
     choose(view, DEMAND).map(|path| {
         let hops = path.hops.iter();
@@ -68,7 +69,7 @@
             load: &Load::default(),
             entry_zone: "a",
             first_event_limit: Duration::from_secs(60),
-            first: None,
+            running: None,
         };
         let Ok(path) = choose(view, DEMAND) else {
             continue;
@@ -186,7 +187,7 @@
         load: &Load::default(),
         entry_zone: "a",
         first_event_limit: Duration::from_secs(1),
-        first: Some(&first),
+        running: Some(std::slice::from_ref(&first)),
     };
     let path = choose(view, DEMAND).unwrap();
     expect_that!(path.hops[0], eq(&first));
@@ -227,7 +228,7 @@
         load: &Load::default(),
         entry_zone: "a",
         first_event_limit: Duration::from_secs(1),
-        first: None,
+        running: None,
     };
     let expected = Narrowest {
         layer: 60,
@@ -249,3 +250,99 @@
     load.begin_transfer(zone_pair(&Arc::from("a"), &Arc::from("b")), 1_000_000);
     expect_that!(pick(&candidates, &load), err(eq(&NoPath::Full)));
 }
+
+/// Load pattern: a part dies under many streams. Guards against leaving the parts that hold a stream's
+/// tokens, which all streams would have to read again elsewhere at the same time.
+#[gtest]
+fn a_changed_path_keeps_the_parts_that_hold_the_tokens() {
+    let candidates = [
+        part("a1", "a", (0, 26), 2.4),
+        part("a3", "a", (52, 66), 5.6),
+        part("a4", "a", (66, 80), 5.6),
+        part("b1", "b", (26, 54), 5.6),
+        part("b2", "b", (54, 80), 5.6),
+    ];
+    let hop = |name: &str, layers: (u16, u16)| Hop {
+        id: Arc::from(name),
+        zone: Arc::from("a"),
+        address: part(name, "a", layers, 1.0).address,
+        layers: LayerRange::new(layers.0, layers.1),
+    };
+    let running = [
+        hop("a1", (0, 26)),
+        hop("a2", (26, 52)),
+        hop("a3", (52, 66)),
+        hop("a4", (66, 80)),
+    ];
+    let engine = engine();
+    let view = View {
+        engine: &engine,
+        candidates: &candidates,
+        load: &Load::default(),
+        entry_zone: "a",
+        first_event_limit: Duration::from_secs(1),
+        running: Some(&running),
+    };
+    let path = choose(view, DEMAND).unwrap();
+    let names: Vec<String> = path
+        .hops
+        .iter()
+        .map(|h| format!("{}:{}", h.id, h.layers))
+        .collect();
+    expect_that!(
+        names,
+        elements_are![
+            eq("a1:0-26"),
+            eq("b1:26-52"),
+            eq("a3:52-66"),
+            eq("a4:66-80")
+        ]
+    );
+}
+
+/// Load pattern: as above. Guards against all streams choosing the same new part at once.
+#[gtest]
+fn handicaps_spread_the_new_parts() {
+    let mut candidates = [
+        part("a1", "a", (0, 40), 5.6),
+        part("a2", "a", (40, 80), 5.6),
+        part("a3", "a", (40, 80), 5.6),
+    ];
+    let first = Hop {
+        id: Arc::from("a1"),
+        zone: Arc::from("a"),
+        address: candidates[0].address,
+        layers: LayerRange::new(0, 40),
+    };
+    let engine = engine();
+    for (handicaps, expected) in [((1.0, 1.3), "a2"), ((1.3, 1.0), "a3")] {
+        (candidates[1].handicap, candidates[2].handicap) = handicaps;
+        let view = View {
+            engine: &engine,
+            candidates: &candidates,
+            load: &Load::default(),
+            entry_zone: "a",
+            first_event_limit: Duration::from_secs(1),
+            running: Some(std::slice::from_ref(&first)),
+        };
+        let path = choose(view, DEMAND).unwrap();
+        expect_that!(&*path.hops[1].id, eq(expected));
+    }
+}
+
+/// Load pattern: a burst of prompts at a part that decodes for many streams, which takes a bounded
+/// piece of the prompts along with each step. Guards against taking its queue for a short one.
+#[gtest]
+fn a_part_that_decodes_reads_prompts_more_slowly() {
+    let idle = part("a1", "a", (0, 16), 16.0);
+    let mut busy = idle.clone();
+    busy.work.requests = 60;
+    let engine = engine();
+    let (alone, _) = part_cost(&engine, &idle, DEMAND, 16);
+    let (beside, _) = part_cost(&engine, &busy, DEMAND, 16);
+    expect_that!(beside, gt(alone * 1.2));
+    let mut queued = busy.clone();
+    queued.work.unread = 20 * 800 * 16;
+    let (behind, _) = part_cost(&engine, &queued, DEMAND, 16);
+    expect_that!(behind, ge(beside * 20.0));
+}
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -12,7 +12,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
 use slog::{info, warn};
 
 use coriandercove_base::hash::hash64;
@@ -91,6 +90,7 @@
         let now = self.router.now();
         self.router.load.borrow_mut().expire(now);
         self.router.suspects.borrow_mut().expire(now);
+        self.router.pulse.borrow_mut().expire(now);
         self.router
             .placements
             .borrow_mut()
@@ -339,29 +339,34 @@
         .map_err(|e| e.to_string())
 }
 
-/// Asks the parts of a broken stream's path whether they are alive, and excludes those that do not
-/// answer.
-pub(crate) fn probe_parts(router: &Rc<Router>, parts: impl Iterator<Item = SocketAddr>) {
+/// Asks those parts of a silent or broken stream's path through which nothing came since `since`
+/// whether they are alive, and excludes those that do not answer. Returns whether any is asked.
+pub(crate) fn probe_parts(
+    router: &Rc<Router>,
+    parts: impl Iterator<Item = SocketAddr>,
+    since: Time,
+) -> bool {
     let addresses: Vec<SocketAddr> = {
-        let mut placements = router.placements.borrow_mut();
+        let mut pulse = router.pulse.borrow_mut();
         let now = router.now();
-        parts.filter(|a| placements.probe_due(*a, now)).collect()
+        parts
+            .filter(|a| pulse.begin_probe(*a, since, now))
+            .collect()
     };
-    if addresses.is_empty() {
-        return;
+    for address in &addresses {
+        actix_rt::spawn(probe(Rc::clone(router), *address));
+    }
+    !addresses.is_empty()
+}
+
+async fn probe(router: Rc<Router>, address: SocketAddr) {
+    let request = router.dialect.report_request();
+    let is_alive = call(address, request, PROBE_TIMEOUT).await.is_ok();
+    router.pulse.borrow_mut().end_probe(address, is_alive);
+    if !is_alive {
+        router.suspect(address, "probe");
+        router.found_lost.notify_waiters();
     }
-    let router = Rc::clone(router);
-    actix_rt::spawn(async move {
-        let probes = addresses.iter().map(|a| {
-            let request = router.dialect.report_request();
-            call(*a, request, PROBE_TIMEOUT)
-        });
-        for (address, result) in addresses.iter().zip(join_all(probes).await) {
-            if result.is_err() {
-                router.suspect(*address, "probe");
-            }
-        }
-    });
 }
 
 #[cfg(test)]
--- a/crates/coriandercove_router/src/placer/placements.rs
+++ b/crates/coriandercove_router/src/placer/placements.rs
@@ -1,6 +1,5 @@
 //! What is known of the layers of each engine beside the platform's list, which lags.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,8 +25,6 @@
 const ORDER_PAUSE: Duration = Duration::from_millis(500);
 /// Age at which a report's slowness no longer counts.
 const REPORT_LIFETIME: Duration = Duration::from_secs(6);
-/// Least time between two probes of one target.
-const PROBE_PAUSE: Duration = Duration::from_millis(300);
 
 data! {
     /// Layers that a target was seen to hold, for the other entries.
@@ -133,7 +130,6 @@
 #[derive(Debug, Default)]
 pub struct Placements {
     known: SortedMap<TargetId, Known>,
-    probed: SortedMap<SocketAddr, Time>,
     first_seen: Option<Time>,
     /// Number of targets at the last look, and when it changed.
     seen: (usize, Time),
@@ -286,24 +282,12 @@
         is_due
     }
 
-    /// Whether a target may be probed now.
-    pub fn probe_due(&mut self, target: SocketAddr, now: Time) -> bool {
-        let at = self.probed.get_or_insert_with(target, || Time::ZERO);
-        let is_due = *at == Time::ZERO || now.saturating_sub(*at) >= PROBE_PAUSE;
-        if is_due {
-            *at = now;
-        }
-        is_due
-    }
-
     /// Forgets targets that are not listed, knowledge that is too old and orders without a trace.
     pub fn expire(&mut self, fleet: &Fleet, now: Time) {
         self.known.retain(|id, _| fleet.get(id).is_some());
         for (_, known) in self.known.iter_mut() {
             known.expire(now);
         }
-        self.probed
-            .retain(|_, at| now.saturating_sub(*at) < PROBE_PAUSE);
     }
 
     /// Notes how many targets there are.
--- a/crates/coriandercove_router/src/placer/placements/tests.rs
+++ b/crates/coriandercove_router/src/placer/placements/tests.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use googletest::prelude::*;
 
 use super::*;
--- a/crates/coriandercove_router/src/proxy/job.rs
+++ b/crates/coriandercove_router/src/proxy/job.rs
@@ -113,6 +113,13 @@
     Passing(Started),
 }
 
+impl Started {
+    /// Parts of the path that the events come through; none where a single target serves.
+    pub(crate) fn parts(&self) -> impl Iterator<Item = SocketAddr> {
+        self.hops.iter().map(|h| h.address)
+    }
+}
+
 impl Job {
     fn now(&self) -> Time {
         self.router.now()
@@ -194,7 +201,12 @@
             "path" => PathText(&hops), "expected_ms" => expected.as_millis(),
             "left_ms" => time_left.as_millis(), "config" => self.version,
             "attempt" => self.attempts.sent + 1);
-        let sent = tokio::time::timeout(time_left, send(address, request)).await;
+        let router = Rc::clone(&self.router);
+        router.pulse.borrow_mut().begin_connect(address, self.now());
+        let exchange = send(address, request, || {
+            router.pulse.borrow_mut().end_probe(address, true);
+        });
+        let sent = tokio::time::timeout(time_left, exchange).await;
         match sent {
             Ok(Ok(exchange)) => self.judge(exchange, in_flight, address, hops),
             Ok(Err(e)) => Err(self.exchange_failed(&e, address, &hops)),
@@ -212,6 +224,10 @@
             ExchangeError::NotSent { .. } => Failure::NotSent,
             ExchangeError::Broken { .. } => Failure::Unknown,
         };
+        if failure == Failure::NotSent {
+            self.router.pulse.borrow_mut().end_probe(address, false);
+            self.router.found_lost.notify_waiters();
+        }
         if failure == Failure::NotSent || hops.is_empty() {
             self.router.suspect(address, "connection");
         }
@@ -276,7 +292,7 @@
                         NoPath::Incomplete => Refusal::NoTarget,
                     })
                 })?;
-            let in_flight = InFlight::over_path(&self.router, &path.hops, demand);
+            let in_flight = InFlight::over_path(&self.router, &path.hops, &[], demand);
             let first = &path.hops[0];
             return Ok(Choice {
                 target: first.id.clone(),
@@ -348,33 +364,50 @@
         Finished::Answer(response)
     }
 
-    /// Asks the parts of a silent or broken stream's path whether they are alive.
-    pub(crate) fn probe(&self, started: &Started) {
-        crate::placer::probe_parts(&self.router, started.hops.iter().map(|h| h.address));
+    /// Asks those parts of a silent or broken stream's path through which nothing came since `since`
+    /// whether they are alive. Returns whether any is asked.
+    pub(crate) fn probe(&self, started: &Started, since: Time) -> bool {
+        crate::placer::probe_parts(&self.router, started.parts(), since)
     }
 
-    /// Which part of the path is lost, if any.
+    /// Which part of the path is excluded, if any.
     pub(crate) fn lost_part(&self, started: &Started) -> Option<LostPart> {
         let now = self.now();
         let suspects = self.router.suspects.borrow();
-        let is_lost = |h: &Hop| suspects.is_excluded(h.address, now);
-        if suspects.is_excluded(started.address, now) {
+        let is_lost = |part| suspects.is_excluded(part, now);
+        if is_lost(started.address) {
+            return Some(LostPart::First);
+        }
+        let mut others = started.hops.iter().skip(1);
+        others
+            .any(|h| is_lost(h.address))
+            .then_some(LostPart::Later)
+    }
+
+    /// Which part of the path of a stream that is silent since `since` is lost by what probes show.
+    /// Only a failed probe loses the first part, because that means another run; a later part is
+    /// replaced without one, so that an answer which is late is enough.
+    pub(crate) fn silent_part(&self, started: &Started, since: Time) -> Option<LostPart> {
+        let now = self.now();
+        let pulse = self.router.pulse.borrow();
+        if pulse.has_failed(started.address, since) {
             return Some(LostPart::First);
         }
         let mut others = started.hops.iter().skip(1);
-        others.any(is_lost).then_some(LostPart::Later)
+        let is_lost = others.any(|h| pulse.is_late(h.address, since, now));
+        is_lost.then_some(LostPart::Later)
     }
 
     /// Leads a running request around a lost later part, without running it again. Returns whether
     /// the first part accepted the new path.
     pub(crate) async fn change_path(&self, started: &mut Started) -> bool {
-        let (Some(demand), Some(first)) = (self.demand(), started.hops.first()) else {
+        let Some(demand) = self.demand().filter(|_| !started.hops.is_empty()) else {
             return false;
         };
         let left = self.deadline.saturating_sub(self.now());
         let chosen = self
             .router
-            .choose_path(&self.service, demand, left, Some(first));
+            .choose_path(&self.service, demand, left, Some(&started.hops));
         let Ok(path) = chosen else {
             return false;
         };
@@ -393,7 +426,8 @@
             "path" => PathText(&path.hops), "accepted" => is_accepted,
             "status" => answer.ok().map(|a| a.status.as_u16()));
         if is_accepted {
-            started.in_flight = InFlight::over_path(&self.router, &path.hops, demand);
+            started.in_flight =
+                InFlight::over_path(&self.router, &path.hops, &started.hops, demand);
             started.hops = path.hops;
         }
         is_accepted
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -1,6 +1,7 @@
 //! Bodies of answers: whole ones, and streams that go on at another target when one breaks.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 
 use crate::attempt::{Failure, Next};
 use crate::proxy::{Job, LostPart, Started};
+use crate::pulse::ANSWER_DUE;
 use crate::sse::{Splitter, Verdict};
 
 /// Why a body ends before its end; the connection to the caller is closed.
@@ -77,10 +79,12 @@
     }
 }
 
-/// Silence of a stream after which the parts of its path are asked whether they are alive; longer
-/// than the pauses of a busy chain.
+/// Silence of a stream after which the parts of its path are asked whether they are alive, where its
+/// route allows longer pauses or none of its events has come; longer than the pauses of a busy chain.
 const SILENCE: Duration = Duration::from_millis(400);
-/// Time that the parts have to answer before the silence is looked at again.
+/// Share of the longest pause that a route allows after which the parts are asked.
+const EARLY_SHARE: f64 = 0.5;
+/// Time between two looks at the silence once the parts have answered.
 const PROBE_WAIT: Duration = Duration::from_millis(300);
 
 /// New paths that one request may be led over after lost parts.
@@ -106,8 +110,13 @@
     first_event: Option<Duration>,
     last_event: Time,
     longest_pause: Duration,
-    /// Whether the parts were asked since the last bytes came.
-    is_probed: bool,
+    /// Silence after which the parts are asked between two events.
+    early_silence: Duration,
+    /// When bytes last came, or the attempt began.
+    last_bytes: Time,
+    /// Time until the silence is looked at again; none if the parts were not asked since the last
+    /// bytes came.
+    look_again: Option<Duration>,
     /// Whether the stream may still leave a target that is silent.
     may_move: bool,
     path_changes: u32,
@@ -124,7 +133,11 @@
 
 /// A body that forwards a stream from its first attempt on.
 pub(crate) fn stream(job: Job, started: Started) -> Body {
+    let gap = job.route.gap_objective.map(|g| g.mul_f64(EARLY_SHARE));
+    let now = job.router.now();
     let relay = Relay {
+        early_silence: gap.map_or(SILENCE, |g| g.min(SILENCE)),
+        last_bytes: now,
         job,
         current: Some(started),
         splitter: Splitter::default(),
@@ -132,7 +145,7 @@
         first_event: None,
         last_event: Time::ZERO,
         longest_pause: Duration::ZERO,
-        is_probed: false,
+        look_again: None,
         may_move: true,
         path_changes: 0,
     };
@@ -162,7 +175,7 @@
             }
             let cause = match self.read().await {
                 Read::Data(bytes) => {
-                    self.is_probed = false;
+                    self.on_bytes();
                     match self.splitter.push(&bytes) {
                         Ok(()) => continue,
                         Err(_) => "event_too_long",
@@ -236,14 +249,45 @@
         self.last_event = now;
     }
 
+    fn on_bytes(&mut self) {
+        self.look_again = None;
+        self.last_bytes = self.job.router.now();
+        if let Some(current) = &self.current {
+            let mut pulse = self.job.router.pulse.borrow_mut();
+            pulse.on_event(current.parts(), self.last_bytes);
+        }
+    }
+
     async fn read(&mut self) -> Read {
         let now = self.job.router.now();
         let left = self.job.deadline.saturating_sub(now);
-        let silence = if self.is_probed { PROBE_WAIT } else { SILENCE };
+        let usual = if self.first_event.is_some() {
+            self.early_silence
+        } else {
+            SILENCE
+        };
+        let silence = self.look_again.unwrap_or(usual);
         let Some(current) = &mut self.current else {
             return Read::Broken("gap");
         };
-        let frame = tokio::time::timeout(left.min(silence), current.exchange.body.frame()).await;
+        let router = Rc::clone(&self.job.router);
+        let frame = tokio::select! {
+            biased;
+            frame = current.exchange.body.frame() => Ok(frame),
+            // Another stream's probe may have found a part of this path lost.
+            () = router.found_lost.notified(), if self.first_event.is_some() => {
+                if self.job.silent_part(current, self.last_bytes).is_some() {
+                    return Read::Silent;
+                }
+                tokio::time::timeout(left.min(silence), current.exchange.body.frame()).await
+            }
+            () = tokio::time::sleep(left.min(silence)) => {
+                if silence < left {
+                    return Read::Silent;
+                }
+                return Read::Deadline;
+            }
+        };
         match frame {
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(bytes) => Read::Data(bytes),
@@ -264,19 +308,25 @@
         let Some(mut current) = self.current.take() else {
             return;
         };
-        let lost = self.job.lost_part(&current).filter(|_| self.is_probed);
+        let now = self.job.router.now();
+        let is_long = now.saturating_sub(self.last_bytes) >= SILENCE + PROBE_WAIT;
+        let lost = self
+            .job
+            .silent_part(&current, self.last_bytes)
+            .or_else(|| self.job.lost_part(&current).filter(|_| is_long));
         let is_repaired = lost == Some(LostPart::Later)
             && self.path_changes < MAX_PATH_CHANGES
             && self.job.change_path(&mut current).await;
         if is_repaired {
             self.path_changes += 1;
             self.job.router.metrics.continuation("path_change");
-            self.is_probed = false;
+            self.look_again = None;
+            self.last_bytes = self.job.router.now();
             self.current = Some(current);
             return;
         }
-        self.job.probe(&current);
-        self.is_probed = true;
+        let is_asked = self.job.probe(&current, self.last_bytes);
+        self.look_again = Some(if is_asked { ANSWER_DUE } else { PROBE_WAIT });
         self.current = Some(current);
         if lost.is_some() && self.may_move {
             let failure = loss(lost);
@@ -295,6 +345,8 @@
         info!(self.job.router.log, "stream continues"; "req" => &*self.job.head.label,
             "cause" => cause, "after" => self.job.cursor.last(), "first" => %started.address);
         self.splitter.clear();
+        self.look_again = None;
+        self.last_bytes = self.job.router.now();
         self.current = Some(started);
         Ok(())
     }
@@ -306,7 +358,7 @@
             "first" => self.current.as_ref().map(|c| c.address.to_string()));
         let mut failure = match self.current.take() {
             Some(lost) => {
-                self.job.probe(&lost);
+                self.job.probe(&lost, self.last_bytes);
                 loss(self.job.lost_part(&lost))
             }
             None => Failure::Unknown,
--- a/crates/coriandercove_router/src/routes.rs
+++ b/crates/coriandercove_router/src/routes.rs
@@ -92,6 +92,8 @@
     pub step_per_context_ms: f64,
     /// Prefill speed over all layers, in tokens each ms.
     pub prefill_per_ms: f64,
+    /// Most prompt tokens read beside one decode step; infinite without a limit.
+    pub prefill_chunk: f64,
     /// Mean tokens of a prompt.
     pub usual_prompt: f64,
     /// Mean tokens of an answer.
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -6,10 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng as _;
 use slog::{Logger, info, warn};
+use tokio::sync::Notify;
 
 use coriandercove_base::rng::Rng;
-use coriandercove_base::{Clock, MonotonicClock, Time};
+use coriandercove_base::{Clock, MonotonicClock, SortedMap, Time, ZoneId};
 
 use crate::budget::RetryBudget;
 use crate::dialect::{Dialect, Topic};
@@ -20,6 +22,7 @@
 use crate::load::{Load, Work, ZonePair, zone_pair};
 use crate::path::{Candidate, Demand, Hop, Narrowest, NoPath, Path, View, choose, narrowest};
 use crate::placer::Placements;
+use crate::pulse::Pulse;
 use crate::routes::{Configuration, Service};
 use crate::settings::Settings;
 use crate::suspects::Suspects;
@@ -42,6 +45,10 @@
     pub load: RefCell<Load>,
     /// Targets without new work.
     pub suspects: RefCell<Suspects>,
+    /// Signs of life of targets.
+    pub pulse: RefCell<Pulse>,
+    /// Notified when a target fails a probe.
+    pub found_lost: Notify,
     /// Orders given and layers reported since the platform's last list.
     pub placements: RefCell<Placements>,
     /// How far the peers have followed the platform.
@@ -72,6 +79,8 @@
             fleet: RefCell::default(),
             load: RefCell::default(),
             suspects: RefCell::default(),
+            pulse: RefCell::default(),
+            found_lost: Notify::new(),
             placements: RefCell::default(),
             heard: Heard::default(),
             budget: RefCell::new(budget),
@@ -132,10 +141,9 @@
     /// Whether a target takes new work.
     #[must_use]
     pub fn takes_work(&self, target: &Target) -> bool {
-        let is_excluded = self
-            .suspects
-            .borrow()
-            .is_excluded(target.address, self.now());
+        let (address, now) = (target.address, self.now());
+        let is_excluded = self.suspects.borrow().is_excluded(address, now)
+            || self.pulse.borrow().is_unanswered(address, now);
         !target.is_draining && !is_excluded
     }
 
@@ -173,7 +181,7 @@
         self.metrics.targets_in_flight(gauges);
     }
 
-    /// Chooses a path for a model request, from its first part on if it has one.
+    /// Chooses a path for a model request, from its first part on if it runs already.
     ///
     /// # Errors
     /// [`NoPath`] if no path has room, and the layer that limits it.
@@ -182,13 +190,16 @@
         service: &Service,
         demand: Demand,
         first_event_limit: Duration,
-        first: Option<&Hop>,
+        running: Option<&[Hop]>,
     ) -> Result<Path, (NoPath, Narrowest)> {
         let Some(engine) = &service.engine else {
             return Err((NoPath::Incomplete, Narrowest::default()));
         };
         let fleet = self.fleet.borrow();
         let load = self.load.borrow();
+        let mut rng = self.rng.borrow_mut();
+        let (most, most_of_zone) = most_handicap(running.is_some(), self.now());
+        let mut zones: SortedMap<ZoneId, f64> = SortedMap::default();
         let candidates: Vec<Candidate> = fleet
             .of_service(&service.name)
             .filter(|t| self.takes_work(t))
@@ -196,6 +207,8 @@
                 let layers = self.layers(t)?;
                 let accelerator = engine.accelerator(&t.accelerator)?;
                 let slowness = self.placements.borrow().slowness(t);
+                let of_zone = *zones
+                    .get_or_insert_with(t.zone.clone(), || rng.random_range(1.0..=most_of_zone));
                 Some(Candidate {
                     id: t.id.clone(),
                     address: t.address,
@@ -206,6 +219,7 @@
                     decode_factor: accelerator.decode_factor * slowness,
                     prefill_factor: accelerator.prefill_factor * slowness,
                     work: load.total(t.address),
+                    handicap: of_zone * rng.random_range(1.0..=most),
                 })
             })
             .collect();
@@ -215,7 +229,7 @@
             load: &load,
             entry_zone: &self.settings.zone,
             first_event_limit,
-            first,
+            running,
         };
         choose(view, demand).map_err(|reason| (reason, narrowest(view, demand)))
     }
@@ -255,6 +269,26 @@
     }
 }
 
+/// Most by which a part is made to look slower, at random, so that entries that do not know of each
+/// other's last choices do not choose alike; kinds of accelerators differ by more.
+const HANDICAP: f64 = 1.1;
+/// The same for new parts of a changed path: many streams are led around one part at once.
+const CHANGE_HANDICAP: f64 = 1.5;
+/// The same for all parts of a zone while an entry has just started, perhaps together with all
+/// others: callers return at once, and no entry knows of another's work.
+const START_ZONE_HANDICAP: f64 = 3.0;
+/// Time after the start until the other entries' work is known: a few of their digests.
+const START_TIME: Duration = Duration::from_millis(1500);
+
+/// Most handicap of a part, and of all parts of its zone.
+fn most_handicap(is_running: bool, since_start: Time) -> (f64, f64) {
+    match (is_running, since_start < START_TIME) {
+        (true, _) => (CHANGE_HANDICAP, 1.0),
+        (false, true) => (CHANGE_HANDICAP, START_ZONE_HANDICAP),
+        (false, false) => (HANDICAP, 1.0),
+    }
+}
+
 /// Advantage of a target in the entry's own zone, in requests for each slot.
 const REMOTE_RANK: f64 = 0.3;
 
@@ -269,20 +303,24 @@
 }
 
 impl InFlight {
-    /// Adds the work of an attempt over these parts.
+    /// Adds the work of an attempt over these parts. Those that `before` has hold the prompt already.
     #[must_use]
-    pub fn over_path(router: &Rc<Router>, hops: &[Hop], demand: Demand) -> Self {
+    pub fn over_path(router: &Rc<Router>, hops: &[Hop], before: &[Hop], demand: Demand) -> Self {
+        let is_kept = |hop: &Hop| before.contains(hop);
         let work = hops.iter().enumerate().map(|(i, hop)| {
             let layers = hop.layers.len();
+            let unread = u64::from(demand.prompt) * u64::from(layers);
             let work = Work {
                 requests: 1,
                 first_parts: u32::from(i == 0),
                 kv: demand.kv(layers),
-                unread: u64::from(demand.prompt) * u64::from(layers),
+                unread: if is_kept(hop) { 0 } else { unread },
             };
             (hop.address, work)
         });
-        let changes = hops.windows(2).filter(|w| w[0].zone != w[1].zone);
+        let changes = hops
+            .windows(2)
+            .filter(|w| w[0].zone != w[1].zone && !is_kept(&w[1]));
         let links = changes.map(|w| zone_pair(&w[0].zone, &w[1].zone));
         Self::begin(
             router,
--- a/crates/coriandercove_router/src/upstream.rs
+++ b/crates/coriandercove_router/src/upstream.rs
@@ -15,8 +15,9 @@
 use snafu::Snafu;
 use tokio::net::TcpStream;
 
-/// Time for a connection to be established inside a deployment; links take milliseconds.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for a connection to be established inside a deployment. Links take milliseconds, and the rest
+/// is room for a busy entry; a longer wait would spoil the first event's objective of 500 ms.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Why an exchange failed.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -82,13 +83,18 @@
 /// Bytes that one connection buffers; bounds the memory of a process with many streams.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
-/// Sends one request on a connection of its own.
+/// Sends one request on a connection of its own; `on_connected` is called once there is one.
 ///
 /// # Errors
 /// [`ExchangeError::NotSent`] if the connection could not be established, otherwise
 /// [`ExchangeError::Broken`].
-pub async fn send(to: SocketAddr, request: Request<Bytes>) -> Result<Exchange, ExchangeError> {
+pub async fn send(
+    to: SocketAddr,
+    request: Request<Bytes>,
+    on_connected: impl FnOnce(),
+) -> Result<Exchange, ExchangeError> {
     let (mut sender, guard) = connect(to).await?;
+    on_connected();
     let response = sender
         .send_request(request.map(Full::new))
         .await
