Pause between watches by the deployment's own bounds; refuse heads beyond the operator's limit

The operator's limit of a head was decoded and not applied. Change: settings apply_ms and drain_ms, from which the pauses follow (0.45 and 0.9 s at 2 s as before). A head beyond the limit gets 431. Ruled out: idle watches (2 a minute for each topic).

--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -18,13 +18,13 @@
 use coriandercove_base::timer::{Subscription, TimerService};
 use coriandercove_base::{NodeId, TargetId, Time};
 
-use crate::dialect::{PlaceOrder, Report};
+use crate::dialect::{PlaceOrder, Report, Topic};
 use crate::fleet::{LayerRange, Target};
 use crate::layout::{self, Assignment, Holder};
 use crate::peers::Peers;
 use crate::routes::{Configuration, EngineModel, Service};
 use crate::state::Router;
-use crate::sync::TARGETS_PAUSE;
+use crate::sync::pause_after;
 use crate::upstream::call;
 
 pub use placements::{Placement, Placements};
@@ -39,9 +39,15 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for a part of a broken stream's path to show that it is alive.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time without a new target after which the first layout is made; longer than the pause between two
-/// looks at the platform's list, which would else pass for quiet.
-const SETTLED: Duration = TARGETS_PAUSE.saturating_add(Duration::from_millis(500));
+/// Time without a new target, beyond the pause between two looks at the platform's list, after which
+/// the first layout is made.
+const SETTLED: Duration = Duration::from_millis(500);
+
+/// Time without a new target after which the list counts as whole, with this pause between looks.
+fn settled_after(pause: Duration) -> Duration {
+    pause + SETTLED
+}
+
 /// Time after the first target was seen at which the first layout is made anyway.
 const SETTLE_AT_MOST: Duration = Duration::from_secs(4);
 
@@ -133,11 +139,12 @@
             })
             .collect();
         let is_first = holders.iter().all(|h| h.layers.is_none());
+        let quiet = settled_after(pause_after(Topic::Targets, &self.router.settings));
         let settled = self
             .router
             .placements
             .borrow()
-            .is_settled(now, SETTLED, SETTLE_AT_MOST);
+            .is_settled(now, quiet, SETTLE_AT_MOST);
         if !is_first || settled {
             let mut assignments = layout::plan(engine, &holders);
             let is_idle = !self.router.placements.borrow().has_orders();
--- a/crates/coriandercove_router/src/placer/tests.rs
+++ b/crates/coriandercove_router/src/placer/tests.rs
@@ -22,12 +22,14 @@
         };
         (0..n).map(|i| Arc::new(target(i))).collect()
     };
+    let pause = Duration::from_millis(900);
+    let quiet = settled_after(pause);
     let start = Duration::from_secs(1);
     placements.see(&targets(24), start);
     // The next look comes after the pause and the call itself.
-    let next = start + TARGETS_PAUSE + Duration::from_millis(100);
-    expect_false!(placements.is_settled(next, SETTLED, SETTLE_AT_MOST));
+    let next = start + pause + Duration::from_millis(100);
+    expect_false!(placements.is_settled(next, quiet, SETTLE_AT_MOST));
     placements.see(&targets(33), next);
-    expect_false!(placements.is_settled(next + TARGETS_PAUSE, SETTLED, SETTLE_AT_MOST));
-    expect_true!(placements.is_settled(next + SETTLED, SETTLED, SETTLE_AT_MOST));
+    expect_false!(placements.is_settled(next + pause, quiet, SETTLE_AT_MOST));
+    expect_true!(placements.is_settled(next + quiet, quiet, SETTLE_AT_MOST));
 }
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -117,6 +117,12 @@
     let Some(cfg) = router.configuration() else {
         return Err(Own::not_run(router, Refusal::NoConfiguration, None));
     };
+    if head_bytes(&req) > cfg.limits.header_bytes {
+        return Err(Own::final_answer(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "head_too_long",
+        ));
+    }
     let Some(route) = cfg.route(&host_of(&req), req.uri().path()) else {
         return Err(Own::final_answer(StatusCode::NOT_FOUND, "no_route"));
     };
@@ -160,6 +166,23 @@
     })
 }
 
+/// Bytes of the request line and the headers as they are sent.
+fn head_bytes(req: &Request<Incoming>) -> usize {
+    // Spaces, version and line end.
+    const REQUEST_LINE: usize = 12;
+    // Colon, space and line end.
+    const HEADER: usize = 4;
+    let line = req.method().as_str().len() + uri_bytes(req.uri()) + REQUEST_LINE;
+    let headers = req.headers().iter();
+    line + headers
+        .map(|(name, value)| name.as_str().len() + value.len() + HEADER)
+        .sum::<usize>()
+}
+
+fn uri_bytes(uri: &hyper::Uri) -> usize {
+    uri.path_and_query().map_or(0, |p| p.as_str().len())
+}
+
 /// The account of the request's key, with its rank.
 fn check_key(
     cfg: &Configuration,
--- a/crates/coriandercove_router/src/settings.rs
+++ b/crates/coriandercove_router/src/settings.rs
@@ -9,6 +9,10 @@
 use coriandercove_base::telemetry::lines::LineLimits;
 use coriandercove_base::{NodeId, ZoneId};
 
+/// Bound on following a configuration or a draining target where the settings have none, in ms; the
+/// users' sites ask for it.
+const DEFAULT_BOUND_MS: f64 = 2000.0;
+
 /// Settings of an entry, read from a YAML file.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -43,6 +47,12 @@
     pub retry_slack: f64,
     /// Length of the window, in seconds.
     pub retry_window_seconds: f64,
+    /// Time in which a configuration must be in force, in ms; 2,000 if absent.
+    #[serde(default)]
+    pub apply_ms: Option<f64>,
+    /// Time after which a target that drains must get no more work, in ms; 2,000 if absent.
+    #[serde(default)]
+    pub drain_ms: Option<f64>,
     /// Most log lines in a second.
     #[serde(default)]
     pub log: LineLimits,
@@ -105,6 +115,18 @@
     fn check(&self, path: &str) -> Result<(), SettingsError> {
         let ranges = [
             ("grace_seconds", self.grace_seconds, 0.5, "0.5 or more"),
+            (
+                "apply_ms",
+                self.apply_ms.unwrap_or(DEFAULT_BOUND_MS),
+                100.0,
+                "100 or more",
+            ),
+            (
+                "drain_ms",
+                self.drain_ms.unwrap_or(DEFAULT_BOUND_MS),
+                100.0,
+                "100 or more",
+            ),
             ("retry_ratio", self.retry_ratio, 0.0, "0 or more"),
             ("retry_slack", self.retry_slack, 0.0, "0 or more"),
             (
@@ -141,6 +163,18 @@
         seconds(self.retry_window_seconds)
     }
 
+    /// Time in which a configuration must be in force.
+    #[must_use]
+    pub fn apply(&self) -> Duration {
+        seconds(self.apply_ms.unwrap_or(DEFAULT_BOUND_MS) / 1e3)
+    }
+
+    /// Time after which a target that drains must get no more work.
+    #[must_use]
+    pub fn drain(&self) -> Duration {
+        seconds(self.drain_ms.unwrap_or(DEFAULT_BOUND_MS) / 1e3)
+    }
+
     /// Time from SIGTERM to SIGKILL.
     #[must_use]
     pub fn grace(&self) -> Duration {
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -11,6 +11,7 @@
 
 use crate::dialect::{Batch, Directory, DirectoryError, Item, Topic};
 use crate::fleet::Target;
+use crate::settings::Settings;
 use crate::state::Router;
 
 /// Time that a watch waits for a change. A silent connection is noticed after it, or when a peer is
@@ -19,12 +20,21 @@
 /// Peers for which the wait grows by another [`WATCH`], and the most of them.
 const PEERS_PER_WATCH: usize = 8;
 const MAX_WATCHES: usize = 4;
-/// Pauses between watches, so that changes in series take one call. Together with the call itself
-/// they stay below half of the shortest bounds, 2 s, on applying a configuration and on leaving a
-/// target that drains.
-const CONFIGURATION_PAUSE: Duration = Duration::from_millis(450);
-/// The same for targets, which change far more often.
-pub const TARGETS_PAUSE: Duration = Duration::from_millis(900);
+/// Share of the bound on following a configuration for which a follower pauses between watches, so
+/// that changes in series take one call. The rest is for the call itself and for a late start of it.
+const CONFIGURATION_PAUSE_SHARE: f64 = 0.225;
+/// The same for targets, which change far more often, of the bound on leaving one that drains.
+const TARGETS_PAUSE_SHARE: f64 = 0.45;
+
+/// Pause of a follower after changes of a topic.
+#[must_use]
+pub fn pause_after(topic: Topic, settings: &Settings) -> Duration {
+    match topic {
+        Topic::Configuration => settings.apply().mul_f64(CONFIGURATION_PAUSE_SHARE),
+        Topic::Targets => settings.drain().mul_f64(TARGETS_PAUSE_SHARE),
+    }
+}
+
 /// First and longest pause after a failed call.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 /// Time after the platform's return in which entries that lapsed meanwhile come back.
@@ -106,7 +116,8 @@
                 self.remove_lapsed();
                 // Entries that may have lapsed are looked at again soon.
                 if has_items && self.lapsed.is_empty() {
-                    tokio::time::sleep(self.batch_pause()).await;
+                    let pause = pause_after(self.topic, &self.router.settings);
+                    tokio::time::sleep(pause).await;
                 }
             }
             Err(DirectoryError::HistoryGone) => {
@@ -124,13 +135,6 @@
         }
     }
 
-    fn batch_pause(&self) -> Duration {
-        match self.topic {
-            Topic::Configuration => CONFIGURATION_PAUSE,
-            Topic::Targets => TARGETS_PAUSE,
-        }
-    }
-
     fn watch_time(&self) -> Duration {
         let peers = self.router.load.borrow().peers();
         let watches = (peers / PEERS_PER_WATCH).clamp(1, MAX_WATCHES);
--- a/crates/coriandercove_router/tests/proxy.rs
+++ b/crates/coriandercove_router/tests/proxy.rs
@@ -257,6 +257,22 @@
     assert_that!(runs, eq(1));
 }
 
+/// Guards against a head beyond the operator's limit reaching a target.
+#[actix_rt::test]
+async fn a_head_that_is_too_long_is_refused() {
+    let (address, seen) = target(|_, _, mut stream| async move {
+        write(&mut stream, &format!("{OK}content-length: 2\r\n\r\nok")).await;
+    })
+    .await;
+    let entry = Entry::start(&[address]).await;
+    for (bytes, status) in [(10 * 1024, "HTTP/1.1 200"), (17 * 1024, "HTTP/1.1 431")] {
+        let headers = format!("{CLOSE}long: {}\r\n", "x".repeat(bytes));
+        let mut caller = entry.request("/safe/x", &headers).await;
+        assert_that!(read_all(&mut caller).await, starts_with(status));
+    }
+    assert_that!(seen.borrow().len(), eq(1));
+}
+
 /// Guards against a kept connection being closed in the middle of a request at a planned stop.
 #[actix_rt::test]
 async fn closing_ends_connections_between_requests() {
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -119,6 +119,8 @@
         retry_ratio: 0.2,
         retry_slack: 100.0,
         retry_window_seconds: 10.0,
+        apply_ms: None,
+        drain_ms: None,
         log: LineLimits::default(),
     }
 }
