--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -85,10 +85,15 @@
 
     /// A refusal that states that the request did not run.
     fn not_run(router: &Router, reason: Refusal, service: Option<&Service>) -> Self {
-        let usual = service
-            .and_then(|s| s.engine.as_ref())
-            .map_or(USUAL_CALL, |e| e.step.mul_f64(e.usual_answer));
-        let wait = retry_after(reason, usual, &mut router.rng.borrow_mut());
+        let wait = match service.and_then(|s| s.engine.as_ref()) {
+            Some(engine) => {
+                let mut pressure = router.pressure.borrow_mut();
+                pressure.on_refused(router.now());
+                pressure.wait(engine.usual_service_time())
+            }
+            None => USUAL_CALL,
+        };
+        let wait = retry_after(reason, wait, &mut router.rng.borrow_mut());
         Self {
             status: StatusCode::SERVICE_UNAVAILABLE,
             reason: reason.as_str(),
--- a/crates/coriandercove_router/src/proxy/job.rs
+++ b/crates/coriandercove_router/src/proxy/job.rs
@@ -293,6 +293,7 @@
                     })
                 })?;
             let in_flight = InFlight::over_path(&self.router, &path.hops, &[], demand);
+            self.router.pressure.borrow_mut().on_admitted(self.now());
             let first = &path.hops[0];
             return Ok(Choice {
                 target: first.id.clone(),
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -379,6 +379,8 @@
     fn finish(&mut self) {
         self.job.watched.done();
         self.log_end("whole");
+        let took = self.job.router.now().saturating_sub(self.job.arrived);
+        self.job.router.pressure.borrow_mut().on_answered(took);
         if let Some(current) = &self.current {
             self.job.router.trust(current.address);
         }
--- a/crates/coriandercove_router/src/routes.rs
+++ b/crates/coriandercove_router/src/routes.rs
@@ -109,6 +109,14 @@
 }
 
 impl EngineModel {
+    /// Time of the usual answer on the usual kind of accelerator.
+    #[must_use]
+    pub fn usual_service_time(&self) -> Duration {
+        let factors = self.accelerators.iter().map(|a| a.decode_factor);
+        let mean = factors.sum::<f64>() / self.accelerators.len().max(1) as f64;
+        self.step.mul_f64(self.usual_answer * mean.max(1.0))
+    }
+
     /// The accelerator of this kind.
     #[must_use]
     pub fn accelerator(&self, kind: &str) -> Option<&Accelerator> {
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -13,6 +13,7 @@
 use coriandercove_base::rng::Rng;
 use coriandercove_base::{Clock, MonotonicClock, SortedMap, Time, ZoneId};
 
+use crate::admit::Pressure;
 use crate::budget::RetryBudget;
 use crate::dialect::{Dialect, Topic};
 use crate::events::{RouterMetrics, TargetGauges};
@@ -53,6 +54,8 @@
     pub placements: RefCell<Placements>,
     /// How far the peers have followed the platform.
     pub heard: Heard,
+    /// How much must be refused.
+    pub pressure: RefCell<Pressure>,
     /// Repeats.
     pub budget: RefCell<RetryBudget>,
     /// Source of random choices.
@@ -83,6 +86,7 @@
             found_lost: Notify::new(),
             placements: RefCell::default(),
             heard: Heard::default(),
+            pressure: RefCell::default(),
             budget: RefCell::new(budget),
             rng: RefCell::new(rng),
             is_leaving: Cell::new(false),
