Let a given-up connection show nothing about its target

Cause, found in reading: a caller that leaves while a connection is tried leaves a probe without an end, and a sound target was then left without work for 10 s. Change: a probe without an end counts for 0.4 s at the most. Connections to the platform keep 0.4 s; only a caller's request has 0.15 s.

--- a/crates/coriandercove_router/src/pulse.rs
+++ b/crates/coriandercove_router/src/pulse.rs
@@ -15,6 +15,9 @@
 /// Time after which a target that has not answered a probe gets no new work. Targets answer within
 /// a few ms, so the rest is room for a busy entry.
 pub const ANSWER_DUE: Duration = Duration::from_millis(80);
+/// Time after which a probe without an end shows nothing: every probe and connection ends before it,
+/// unless the request that tried it was given up.
+const ABANDONED: Duration = Duration::from_millis(400);
 /// Time after which signs of life are forgotten.
 const LIFETIME: Duration = Duration::from_secs(10);
 
@@ -32,6 +35,13 @@
     outcome: Outcome,
 }
 
+impl Probe {
+    fn is_overdue(&self, now: Time) -> bool {
+        let age = now.saturating_sub(self.began);
+        self.outcome == Outcome::Pending && (ANSWER_DUE..ABANDONED).contains(&age)
+    }
+}
+
 /// Signs of life by target address.
 #[derive(Debug, Default)]
 pub struct Pulse {
@@ -68,10 +78,9 @@
 
     /// Notes that a connection to the target is tried, which shows as much as a probe.
     pub fn begin_connect(&mut self, target: SocketAddr, now: Time) {
-        let is_pending = self
-            .probes
-            .get(&target)
-            .is_some_and(|p| p.outcome == Outcome::Pending);
+        let is_pending = self.probes.get(&target).is_some_and(|p| {
+            p.outcome == Outcome::Pending && now.saturating_sub(p.began) < ABANDONED
+        });
         if !is_pending {
             let probe = Probe {
                 began: now,
@@ -104,22 +113,14 @@
     #[must_use]
     pub fn is_late(&self, target: SocketAddr, since: Time, now: Time) -> bool {
         self.probes.get(&target).is_some_and(|p| {
-            let is_due = now.saturating_sub(p.began) >= ANSWER_DUE;
-            let is_late = match p.outcome {
-                Outcome::Alive => false,
-                Outcome::Failed => true,
-                Outcome::Pending => is_due,
-            };
-            p.began >= since && is_late
+            p.began >= since && (p.outcome == Outcome::Failed || p.is_overdue(now))
         })
     }
 
     /// Whether a target has not answered a probe in time so far.
     #[must_use]
     pub fn is_unanswered(&self, target: SocketAddr, now: Time) -> bool {
-        self.probes.get(&target).is_some_and(|p| {
-            p.outcome == Outcome::Pending && now.saturating_sub(p.began) >= ANSWER_DUE
-        })
+        self.probes.get(&target).is_some_and(|p| p.is_overdue(now))
     }
 
     /// Forgets what is too old.
--- a/crates/coriandercove_router/src/pulse/tests.rs
+++ b/crates/coriandercove_router/src/pulse/tests.rs
@@ -78,3 +78,18 @@
     pulse.end_probe(part(1), true);
     expect_false!(pulse.is_unanswered(part(1), at(1100)));
 }
+
+/// Guards against a sound target left without work because a caller left while a connection to it was
+/// tried, so that nobody noted its end.
+#[gtest]
+fn a_connection_that_was_given_up_shows_nothing() {
+    let mut pulse = Pulse::default();
+    pulse.begin_connect(part(1), at(1000));
+    expect_true!(pulse.is_unanswered(part(1), at(1200)));
+    expect_false!(pulse.is_unanswered(part(1), at(1400)));
+    expect_false!(pulse.is_late(part(1), at(900), at(1400)));
+    // The next connection counts from its own beginning.
+    pulse.begin_connect(part(1), at(1450));
+    expect_false!(pulse.is_unanswered(part(1), at(1500)));
+    expect_true!(pulse.is_unanswered(part(1), at(1530)));
+}
--- a/crates/coriandercove_router/src/upstream.rs
+++ b/crates/coriandercove_router/src/upstream.rs
@@ -15,9 +15,11 @@
 use snafu::Snafu;
 use tokio::net::TcpStream;
 
-/// Time for a connection to be established inside a deployment. Links take milliseconds, and the rest
-/// is room for a busy entry; a longer wait would spoil the first event's objective of 500 ms.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for a connection to be established inside a deployment; links take milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// The same for a request of a caller, which may go to another target: a longer wait would spoil the
+/// first event's objective of 500 ms.
+const ATTEMPT_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Why an exchange failed.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -59,11 +61,14 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
-async fn connect(to: SocketAddr) -> Result<(Sender, ConnectionGuard), ExchangeError> {
+async fn connect(
+    to: SocketAddr,
+    limit: Duration,
+) -> Result<(Sender, ConnectionGuard), ExchangeError> {
     let not_sent = |problem: String| ExchangeError::NotSent { problem };
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(to))
+    let stream = tokio::time::timeout(limit, TcpStream::connect(to))
         .await
-        .map_err(|_| not_sent(format!("{to}: no connection within {CONNECT_TIMEOUT:?}")))?
+        .map_err(|_| not_sent(format!("{to}: no connection within {limit:?}")))?
         .map_err(|e| not_sent(format!("{to}: {e}")))?;
     stream
         .set_nodelay(true)
@@ -93,7 +98,7 @@
     request: Request<Bytes>,
     on_connected: impl FnOnce(),
 ) -> Result<Exchange, ExchangeError> {
-    let (mut sender, guard) = connect(to).await?;
+    let (mut sender, guard) = connect(to, ATTEMPT_CONNECT_TIMEOUT).await?;
     on_connected();
     let response = sender
         .send_request(request.map(Full::new))
@@ -173,7 +178,7 @@
             let kept = self.kept.borrow_mut().take();
             let (mut sender, guard) = match kept {
                 Some((sender, guard)) if !sender.is_closed() => (sender, guard),
-                _ => connect(self.to).await?,
+                _ => connect(self.to, CONNECT_TIMEOUT).await?,
             };
             let broken = |e: hyper::Error| ExchangeError::Broken {
                 problem: format!("{}: {e}", self.to),
