Follow changed settings on SIGHUP

Cause: SIGHUP was logged and changed nothing. Change: the file is read and checked again; the retry budget, the grace, the bounds of following and the limits of log lines are followed at once. One line names these keys and those that wait for the next start; a file that cannot be used is logged and changes nothing. Ruled out: addresses and names, which belong to the process and its peers.

--- a/crates/coriandercove_base/src/telemetry/lines.rs
+++ b/crates/coriandercove_base/src/telemetry/lines.rs
@@ -59,13 +59,13 @@
     out: impl Write + Send + 'static,
 ) -> std::io::Result<(Logger, Lines)> {
     let shared = Arc::new(Shared::default());
+    shared.pending().limits = limits;
     let writer = Arc::clone(&shared);
     std::thread::Builder::new()
         .name("log".to_owned())
         .spawn(move || write_all(&writer, out))?;
     let sink = Sink(Arc::clone(&shared));
     let drain = LineDrain {
-        limits,
         state: Mutex::new((Window::default(), slog_json::Json::default(sink))),
         shared: Arc::clone(&shared),
     };
@@ -77,6 +77,11 @@
 pub struct Lines(Arc<Shared>);
 
 impl Lines {
+    /// Changes the limits from the next line on.
+    pub fn set_limits(&self, limits: LineLimits) {
+        self.0.pending().limits = limits;
+    }
+
     /// Lines left out since the last call.
     #[must_use]
     pub fn take_omitted(&self) -> u64 {
@@ -115,6 +120,7 @@
     is_writing: bool,
     /// Whether the writer should not wait for more lines.
     is_urgent: bool,
+    limits: LineLimits,
 }
 
 impl Shared {
@@ -201,7 +207,6 @@
 
 /// Formats the lines that the limits admit.
 struct LineDrain {
-    limits: LineLimits,
     state: Mutex<(Window, slog_json::Json<Sink>)>,
     shared: Arc<Shared>,
 }
@@ -217,8 +222,11 @@
     ) -> Result<(), slog::Never> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let (window, json) = &mut *state;
-        let fits = self.shared.pending().bytes.len() < BUFFER_BYTES;
-        let is_admitted = fits && window.admit(record.level(), self.limits, Instant::now());
+        let (fits, limits) = {
+            let pending = self.shared.pending();
+            (pending.bytes.len() < BUFFER_BYTES, pending.limits)
+        };
+        let is_admitted = fits && window.admit(record.level(), limits, Instant::now());
         if !is_admitted || json.log(record, values).is_err() {
             self.shared.omitted.fetch_add(1, Ordering::Relaxed);
         }
--- a/crates/coriandercove_base/src/telemetry/lines/tests.rs
+++ b/crates/coriandercove_base/src/telemetry/lines/tests.rs
@@ -90,3 +90,15 @@
     assert!(text.lines().all(|l| l.starts_with('{') && l.ends_with('}')));
     assert!(lines.flush(Duration::from_secs(10)), "nothing waits");
 }
+
+/// Guards against limits that a running process does not follow.
+#[test]
+fn changed_limits_hold_from_the_next_line_on() {
+    let (log, lines) = to_writer(LineLimits::default(), std::io::sink()).expect("a thread");
+    info!(log, "written");
+    assert_eq!(lines.take_omitted(), 0);
+    lines.set_limits(LineLimits { info: 0, warn: 1 });
+    info!(log, "left out");
+    warn!(log, "written");
+    assert_eq!(lines.take_omitted(), 1);
+}
--- a/crates/coriandercove_router/src/budget.rs
+++ b/crates/coriandercove_router/src/budget.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Changes the limits; what was counted stays.
+    pub fn set_limits(&mut self, ratio: f64, slack: f64, window: Duration) {
+        (self.ratio, self.slack, self.window) = (ratio, slack, window);
+    }
+
     fn expire(&mut self, now: Time) {
         let start = now.saturating_sub(self.window);
         for times in [&mut self.requests, &mut self.repeats] {
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -139,7 +139,7 @@
             })
             .collect();
         let is_first = holders.iter().all(|h| h.layers.is_none());
-        let quiet = settled_after(pause_after(Topic::Targets, &self.router.settings));
+        let quiet = settled_after(pause_after(Topic::Targets, self.router.live.get()));
         let settled = self
             .router
             .placements
--- a/crates/coriandercove_router/src/process.rs
+++ b/crates/coriandercove_router/src/process.rs
@@ -17,7 +17,7 @@
 use crate::front::{Front, serve_status};
 use crate::peers::Peers;
 use crate::placer::Placer;
-use crate::settings::Settings;
+use crate::settings::{Settings, SettingsError};
 use crate::state::Router;
 use crate::sync::follow;
 
@@ -48,6 +48,12 @@
         /// Why.
         source: std::io::Error,
     },
+    /// The settings cannot be used.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// Why.
+        source: SettingsError,
+    },
     /// A signal cannot be handled.
     #[snafu(display("signals: {source}"))]
     Signals {
@@ -66,17 +72,22 @@
     signal(kind).context(SignalsSnafu)
 }
 
+/// Reads the settings, at the start and with each SIGHUP.
+pub type SettingsSource = Box<dyn Fn() -> Result<Settings, SettingsError>>;
+
 /// Runs an entry until SIGTERM or SIGINT.
 ///
 /// # Errors
 /// [`StartError`] if an address cannot be bound or signals cannot be handled.
 pub async fn run(
-    settings: Settings,
+    source: SettingsSource,
     dialect: Rc<dyn Dialect>,
     directory: Rc<dyn Directory>,
     log: Logger,
     lines: Lines,
 ) -> Result<(), StartError> {
+    let settings = source().context(SettingsSnafu)?;
+    let mut last = settings.clone();
     let callers = listen("callers", settings.callers).await?;
     let readiness = listen("readiness", settings.readiness).await?;
     let address = settings.peers;
@@ -116,7 +127,7 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(&router),
+            _ = hangup.recv() => reload(&router, &mut last, &source, &lines),
         }
     }
     stop(&router, &front).await;
@@ -133,15 +144,30 @@
     }
 }
 
-/// Settings hold addresses and bounds that belong to the process for its life; a change takes
-/// effect with the next start.
-fn reload(router: &Router) {
-    info!(router.log, "reload"; "effect" => "settings apply from the next start");
+/// Reads the settings again. Settings that cannot be used change nothing.
+fn reload(router: &Router, last: &mut Settings, source: &SettingsSource, lines: &Lines) {
+    let read = source().map_err(|e| e.to_string());
+    let compared = read.and_then(|new| {
+        let changes = last.changes(&new).map_err(|e| e.to_string())?;
+        Ok((new, changes))
+    });
+    match compared {
+        Ok((new, changes)) => {
+            info!(router.log, "reload"; "changed" => changes.live.join(","),
+                "at_next_start" => changes.at_next_start.join(","));
+            router.follow(new.live());
+            lines.set_limits(new.log);
+            *last = new;
+        }
+        Err(cause) => {
+            warn!(router.log, "reload refused, the settings so far stay"; "cause" => cause);
+        }
+    }
 }
 
 async fn stop(router: &Router, front: &Front) {
     let began = router.now();
-    let grace = router.settings.grace().saturating_sub(EXIT_MARGIN);
+    let grace = router.live.get().grace.saturating_sub(EXIT_MARGIN);
     router.is_leaving.set(true);
     info!(router.log, "stopping"; "connections" => front.open(),
         "requests" => router.in_flight.get());
--- a/crates/coriandercove_router/src/settings.rs
+++ b/crates/coriandercove_router/src/settings.rs
@@ -91,7 +91,84 @@
     },
 }
 
+/// Settings that a running process follows; the others take effect with the next start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LiveSettings {
+    /// Repeats of all entries for each request.
+    pub retry_ratio: f64,
+    /// Repeats of all entries in addition.
+    pub retry_slack: f64,
+    /// Window of the retry budget.
+    pub retry_window: Duration,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// Time in which a configuration must be in force.
+    pub apply: Duration,
+    /// Time after which a target that drains must get no more work.
+    pub drain: Duration,
+    /// Most log lines in a second.
+    pub log: LineLimits,
+}
+
+/// Keys of [`LiveSettings`].
+const LIVE_KEYS: [&str; 7] = [
+    "retry_ratio",
+    "retry_slack",
+    "retry_window_seconds",
+    "grace_seconds",
+    "apply_ms",
+    "drain_ms",
+    "log",
+];
+
+/// Keys by which two versions of a settings file differ.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Keys that a running process follows.
+    pub live: Vec<String>,
+    /// Keys that take effect with the next start.
+    pub at_next_start: Vec<String>,
+}
+
 impl Settings {
+    /// What a running process follows.
+    #[must_use]
+    pub fn live(&self) -> LiveSettings {
+        LiveSettings {
+            retry_ratio: self.retry_ratio,
+            retry_slack: self.retry_slack,
+            retry_window: seconds(self.retry_window_seconds),
+            grace: seconds(self.grace_seconds),
+            apply: seconds(self.apply_ms.unwrap_or(DEFAULT_BOUND_MS) / 1e3),
+            drain: seconds(self.drain_ms.unwrap_or(DEFAULT_BOUND_MS) / 1e3),
+            log: self.log,
+        }
+    }
+
+    /// Compares with a newer version of the same file.
+    ///
+    /// # Errors
+    /// A version cannot be written as YAML.
+    pub fn changes(&self, newer: &Self) -> Result<Changes, serde_norway::Error> {
+        let (old, new) = (
+            serde_norway::to_value(self)?,
+            serde_norway::to_value(newer)?,
+        );
+        let mut changes = Changes::default();
+        for (key, value) in new.as_mapping().into_iter().flatten() {
+            let name = key.as_str().unwrap_or_default();
+            if old.get(name) == Some(value) {
+                continue;
+            }
+            if LIVE_KEYS.contains(&name) {
+                changes.live.push(name.to_owned());
+            } else {
+                changes.at_next_start.push(name.to_owned());
+            }
+        }
+        Ok(changes)
+    }
+
     /// Reads and checks a settings file.
     ///
     /// # Errors
@@ -156,30 +233,6 @@
         }
         Ok(())
     }
-
-    /// Window of the retry budget.
-    #[must_use]
-    pub fn retry_window(&self) -> Duration {
-        seconds(self.retry_window_seconds)
-    }
-
-    /// Time in which a configuration must be in force.
-    #[must_use]
-    pub fn apply(&self) -> Duration {
-        seconds(self.apply_ms.unwrap_or(DEFAULT_BOUND_MS) / 1e3)
-    }
-
-    /// Time after which a target that drains must get no more work.
-    #[must_use]
-    pub fn drain(&self) -> Duration {
-        seconds(self.drain_ms.unwrap_or(DEFAULT_BOUND_MS) / 1e3)
-    }
-
-    /// Time from SIGTERM to SIGKILL.
-    #[must_use]
-    pub fn grace(&self) -> Duration {
-        seconds(self.grace_seconds)
-    }
 }
 
 /// A checked time in seconds; the longest one if it is beyond what a time can hold.
--- a/crates/coriandercove_router/src/settings/tests.rs
+++ b/crates/coriandercove_router/src/settings/tests.rs
@@ -23,7 +23,7 @@
 #[gtest]
 fn whole_settings_are_read() {
     let settings = Settings::parse(TEXT, "entry.yaml").unwrap();
-    expect_that!(settings.grace(), eq(Duration::from_secs(8)));
+    expect_that!(settings.live().grace, eq(Duration::from_secs(8)));
     expect_that!(settings.seeds.len(), eq(1));
     expect_that!(settings.metrics, none());
 }
@@ -54,3 +54,21 @@
         expect_that!(error, contains_substring(part));
     }
 }
+
+/// Guards against a reload that follows what belongs to the process, or leaves out what it could follow.
+#[gtest]
+fn a_reload_tells_what_it_follows() {
+    let old = Settings::parse(TEXT, "entry.yaml").unwrap();
+    let text = TEXT
+        .replace("retry_slack: 396", "retry_slack: 40")
+        .replace("127.0.0.1:7300", "127.0.0.1:7400");
+    let new = Settings::parse(&(text + "drain_ms: 3000\n"), "entry.yaml").unwrap();
+    let changes = old.changes(&new).unwrap();
+    expect_that!(
+        changes.live,
+        elements_are![eq("retry_slack"), eq("drain_ms")]
+    );
+    expect_that!(changes.at_next_start, elements_are![eq("store")]);
+    expect_that!(new.live().drain, eq(Duration::from_secs(3)));
+    expect_that!(old.changes(&old).unwrap(), eq(&Changes::default()));
+}
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -25,13 +25,15 @@
 use crate::placer::Placements;
 use crate::pulse::Pulse;
 use crate::routes::{Configuration, Service};
-use crate::settings::Settings;
+use crate::settings::{LiveSettings, Settings};
 use crate::suspects::Suspects;
 
 /// State of a router, shared by the parts of its runtime on one thread.
 pub struct Router {
     /// Settings at the start.
     pub settings: Settings,
+    /// Settings that are followed while the process runs.
+    pub live: Cell<LiveSettings>,
     /// Headers and bodies.
     pub dialect: Rc<dyn Dialect>,
     /// Log.
@@ -70,10 +72,11 @@
     /// A router that knows nothing yet.
     #[must_use]
     pub fn new(settings: Settings, dialect: Rc<dyn Dialect>, log: Logger, rng: Rng) -> Self {
-        let window = settings.retry_window();
-        let budget = RetryBudget::new(settings.retry_ratio, settings.retry_slack, window);
+        let live = settings.live();
+        let budget = RetryBudget::new(live.retry_ratio, live.retry_slack, live.retry_window);
         Self {
             settings,
+            live: Cell::new(live),
             dialect,
             log,
             metrics: RouterMetrics::default(),
@@ -100,6 +103,14 @@
         self.clock.now()
     }
 
+    /// Follows changed settings.
+    pub fn follow(&self, live: LiveSettings) {
+        self.live.set(live);
+        self.budget
+            .borrow_mut()
+            .set_limits(live.retry_ratio, live.retry_slack, live.retry_window);
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn configuration(&self) -> Option<Rc<Configuration>> {
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -11,7 +11,7 @@
 
 use crate::dialect::{Batch, Directory, DirectoryError, Item, Topic};
 use crate::fleet::Target;
-use crate::settings::Settings;
+use crate::settings::LiveSettings;
 use crate::state::Router;
 
 /// Time that a watch waits for a change. A silent connection is noticed after it, or when a peer is
@@ -28,10 +28,10 @@
 
 /// Pause of a follower after changes of a topic.
 #[must_use]
-pub fn pause_after(topic: Topic, settings: &Settings) -> Duration {
+pub fn pause_after(topic: Topic, settings: LiveSettings) -> Duration {
     match topic {
-        Topic::Configuration => settings.apply().mul_f64(CONFIGURATION_PAUSE_SHARE),
-        Topic::Targets => settings.drain().mul_f64(TARGETS_PAUSE_SHARE),
+        Topic::Configuration => settings.apply.mul_f64(CONFIGURATION_PAUSE_SHARE),
+        Topic::Targets => settings.drain.mul_f64(TARGETS_PAUSE_SHARE),
     }
 }
 
@@ -116,7 +116,7 @@
                 self.remove_lapsed();
                 // Entries that may have lapsed are looked at again soon.
                 if has_items && self.lapsed.is_empty() {
-                    let pause = pause_after(self.topic, &self.router.settings);
+                    let pause = pause_after(self.topic, self.router.live.get());
                     tokio::time::sleep(pause).await;
                 }
             }
