Compute the cost of a link once for each part, and take a missing piece size for none

Found in reading the change: the cost of a link was computed again for each end of a part, and a piece size of 0 in a configuration would have refused everything.

--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -221,6 +221,11 @@
                 if before.is_some_and(|n| n.candidate == i) {
                     continue;
                 }
+                let to_new = link_cost(view, before, candidate, demand, false);
+                let to_kept = match view.running {
+                    Some(_) => link_cost(view, before, candidate, demand, true),
+                    None => to_new,
+                };
                 for (e, &end) in bounds.iter().enumerate().skip(b + 1) {
                     if end > candidate.layers.end {
                         break;
@@ -233,7 +238,7 @@
                     if needs_room && !has_room {
                         continue;
                     }
-                    let (link, wait) = link_cost(view, before, candidate, demand, is_kept);
+                    let (link, wait) = if is_kept { to_kept } else { to_new };
                     if needs_room && link.is_infinite() {
                         continue;
                     }
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -222,8 +222,12 @@
                 let layers = self.layers(t)?;
                 let accelerator = engine.accelerator(&t.accelerator)?;
                 let slowness = self.placements.borrow().slowness(t);
-                let of_zone = *zones
-                    .get_or_insert_with(t.zone.clone(), || rng.random_range(1.0..=most_of_zone));
+                let of_zone = if most_of_zone > 1.0 {
+                    let draw = || rng.random_range(1.0..=most_of_zone);
+                    *zones.get_or_insert_with(t.zone.clone(), draw)
+                } else {
+                    1.0
+                };
                 Some(Candidate {
                     id: t.id.clone(),
                     address: t.address,
