--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -234,8 +234,11 @@
                         continue;
                     }
                     let is_kept = view.is_kept(candidate, (at, end));
-                    let has_room = is_kept || has_room(candidate, demand, end - at);
-                    if needs_room && !has_room {
+                    if needs_room && !is_kept && !has_room(candidate, demand, end - at) {
+                        if view.running.is_none() {
+                            // More layers need more room.
+                            break;
+                        }
                         continue;
                     }
                     let (link, wait) = if is_kept { to_kept } else { to_new };
