Split the search for a path into steps

The loop over boundaries, candidates, starts and ends was four levels deep, and the cost of a first part stood inside that of a link. Nothing else changes.

--- a/crates/coriandercove_router/src/path.rs
+++ b/crates/coriandercove_router/src/path.rs
@@ -197,80 +197,128 @@
     }
 }
 
+/// Finds the path with the least cost; `needs_room` leaves out what is full.
 fn search(view: View<'_>, demand: Demand, needs_room: bool) -> Option<Path> {
-    let View {
-        engine, candidates, ..
-    } = view;
-    let mut bounds = boundaries(engine, candidates);
-    for hop in view.running.unwrap_or_default() {
-        if let Err(i) = bounds.binary_search(&hop.layers.end) {
-            bounds.insert(i, hop.layers.end);
+    let mut search = Search::new(view, demand, needs_room);
+    for b in 0..search.bounds.len().saturating_sub(1) {
+        search.extend_from(b);
+    }
+    search.cheapest()
+}
+
+/// A search over the layer boundaries, from the first layer to the last.
+struct Search<'a> {
+    view: View<'a>,
+    demand: Demand,
+    needs_room: bool,
+    /// Layers at which a part may begin or end; sorted.
+    bounds: Vec<u16>,
+    nodes: Vec<Node>,
+    /// The best node for each boundary and zone of the last part.
+    best: Vec<Vec<usize>>,
+}
+
+impl<'a> Search<'a> {
+    fn new(view: View<'a>, demand: Demand, needs_room: bool) -> Self {
+        let mut bounds = boundaries(view.engine, view.candidates);
+        for hop in view.running.unwrap_or_default() {
+            if let Err(i) = bounds.binary_search(&hop.layers.end) {
+                bounds.insert(i, hop.layers.end);
+            }
+        }
+        Self {
+            view,
+            demand,
+            needs_room,
+            nodes: Vec::new(),
+            best: vec![Vec::new(); bounds.len()],
+            bounds,
         }
     }
-    let mut nodes: Vec<Node> = Vec::new();
-    // The best node for each boundary and zone of the last part.
-    let mut best: Vec<Vec<usize>> = vec![Vec::new(); bounds.len()];
-    for b in 0..bounds.len().saturating_sub(1) {
-        let at = bounds[b];
+
+    /// Extends the best nodes that end at boundary `b` by every part that holds the next layer.
+    fn extend_from(&mut self, b: usize) {
         let starts: Vec<Option<usize>> = if b == 0 {
             vec![None]
         } else {
-            best[b].iter().copied().map(Some).collect()
+            self.best[b].iter().copied().map(Some).collect()
         };
-        for (i, candidate) in candidates.iter().enumerate() {
+        let at = self.bounds[b];
+        for (i, candidate) in self.view.candidates.iter().enumerate() {
             if candidate.layers.first > at || candidate.layers.end <= at {
                 continue;
             }
             for previous in &starts {
-                let before = previous.map(|p| nodes[p]);
-                if before.is_some_and(|n| n.candidate == i) {
-                    continue;
+                if previous.is_none_or(|p| self.nodes[p].candidate != i) {
+                    self.add_parts(b, i, *previous);
                 }
-                let to_new = link_cost(view, before, candidate, demand, false);
-                let to_kept = match view.running {
-                    Some(_) => link_cost(view, before, candidate, demand, true),
-                    None => to_new,
-                };
-                for (e, &end) in bounds.iter().enumerate().skip(b + 1) {
-                    if end > candidate.layers.end {
-                        break;
-                    }
-                    if needs_room && b == 0 && !may_begin(view, candidate, end) {
-                        continue;
-                    }
-                    let is_kept = view.is_kept(candidate, (at, end));
-                    if needs_room && !is_kept && !has_room(candidate, demand, end - at) {
-                        if view.running.is_none() {
-                            // More layers need more room.
-                            break;
-                        }
-                        continue;
-                    }
-                    let (link, wait) = if is_kept { to_kept } else { to_new };
-                    if needs_room && link.is_infinite() {
-                        continue;
-                    }
-                    let (read, decode) = part_cost(engine, candidate, demand, end - at);
-                    let read = if is_kept { 0.0 } else { read };
-                    let factor = if is_kept { 1.0 } else { candidate.handicap };
-                    let node = Node {
-                        cost: before.map_or(0.0, |n| n.cost) + link + (read + decode) * factor,
-                        first_event: before.map_or(0.0, |n| n.first_event) + wait + read,
-                        candidate: i,
-                        start: at,
-                        end,
-                        previous: *previous,
-                    };
-                    relax(&mut nodes, &mut best[e], candidates, node);
+            }
+        }
+    }
+
+    /// Adds the parts that the candidate may run from boundary `b` on, after the node `previous`.
+    fn add_parts(&mut self, b: usize, i: usize, previous: Option<usize>) {
+        let view = self.view;
+        let candidate = &view.candidates[i];
+        let before = previous.map(|p| self.nodes[p]);
+        let (to_new, to_kept) = self.links(before, candidate);
+        let at = self.bounds[b];
+        for e in b + 1..self.bounds.len() {
+            let end = self.bounds[e];
+            if end > candidate.layers.end {
+                return;
+            }
+            if self.needs_room && b == 0 && !may_begin(view, candidate, end) {
+                continue;
+            }
+            let is_kept = view.is_kept(candidate, (at, end));
+            if self.needs_room && !is_kept && !has_room(candidate, self.demand, end - at) {
+                if view.running.is_none() {
+                    // More layers need more room.
+                    return;
                 }
+                continue;
             }
+            let (link, wait) = if is_kept { to_kept } else { to_new };
+            if self.needs_room && link.is_infinite() {
+                continue;
+            }
+            let (read, decode) = part_cost(view.engine, candidate, self.demand, end - at);
+            let read = if is_kept { 0.0 } else { read };
+            let factor = if is_kept { 1.0 } else { candidate.handicap };
+            let node = Node {
+                cost: before.map_or(0.0, |n| n.cost) + link + (read + decode) * factor,
+                first_event: before.map_or(0.0, |n| n.first_event) + wait + read,
+                candidate: i,
+                start: at,
+                end,
+                previous,
+            };
+            relax(&mut self.nodes, &mut self.best[e], view.candidates, node);
         }
     }
-    let last = best.last()?;
-    let mut ends: Vec<usize> = last.clone();
-    ends.sort_by(|a, b| nodes[*a].cost.total_cmp(&nodes[*b].cost));
-    ends.into_iter()
-        .find_map(|end| assemble(&nodes, candidates, end))
+
+    /// Cost of the way into a part that is new to the request, and into one that is kept.
+    fn links(&self, before: Option<Node>, part: &Candidate) -> ((f64, f64), (f64, f64)) {
+        let Some(before) = before else {
+            let cost = (first_part_cost(self.view, part), 0.0);
+            return (cost, cost);
+        };
+        let from = &self.view.candidates[before.candidate].zone;
+        let to_new = link_cost(self.view, from, part, self.demand, false);
+        let to_kept = match self.view.running {
+            Some(_) => link_cost(self.view, from, part, self.demand, true),
+            None => to_new,
+        };
+        (to_new, to_kept)
+    }
+
+    fn cheapest(&self) -> Option<Path> {
+        let mut ends: Vec<usize> = self.best.last()?.clone();
+        ends.sort_by(|a, b| self.nodes[*a].cost.total_cmp(&self.nodes[*b].cost));
+        ends.into_iter()
+            .find_map(|end| assemble(&self.nodes, self.view.candidates, end))
+    }
 }
 
 /// Share of the slots of a first part that entries fill together; the rest covers what they do not
@@ -346,26 +394,28 @@
     (read, token * f64::from(demand.answer))
 }
 
-/// Cost of the link into a part, and the part of it that delays the first event, in ms. The cost is
-/// infinite if the link takes no more prompts. No prompt crosses into a part that holds the tokens.
+/// Cost of beginning a path at a part, in ms.
+fn first_part_cost(view: View<'_>, part: &Candidate) -> f64 {
+    let is_remote = *part.zone != *view.entry_zone;
+    let remote = if is_remote { REMOTE_FIRST_PART_MS } else { 0.0 };
+    let tried = if part.is_tried {
+        TRIED_FIRST_PART_MS
+    } else {
+        0.0
+    };
+    remote + tried
+}
+
+/// Cost of the link from a zone into a part, and the part of it that delays the first event, in ms.
+/// The cost is infinite if the link takes no more prompts. No prompt crosses into a part that holds
+/// the tokens.
 fn link_cost(
     view: View<'_>,
-    before: Option<Node>,
+    from: &ZoneId,
     part: &Candidate,
     demand: Demand,
     is_kept: bool,
 ) -> (f64, f64) {
-    let Some(before) = before else {
-        let is_remote = *part.zone != *view.entry_zone;
-        let remote = if is_remote { REMOTE_FIRST_PART_MS } else { 0.0 };
-        let tried = if part.is_tried {
-            TRIED_FIRST_PART_MS
-        } else {
-            0.0
-        };
-        return (remote + tried, 0.0);
-    };
-    let from = &view.candidates[before.candidate].zone;
     if *from == part.zone {
         return (0.0, 0.0);
     }
