--- a/crates/coriandercove_router/src/fleet.rs
+++ b/crates/coriandercove_router/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriandercove_base::{Layer, TargetId, ZoneId, data};
+use coriandercove_base::{Layer, SortedMap, TargetId, ZoneId, data};
 
 use crate::routes::ServiceId;
 
@@ -70,54 +70,46 @@
     pub layers: Option<LayerRange>,
 }
 
-/// All listed targets, sorted by id.
+/// All listed targets, by id.
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
-    targets: Vec<Arc<Target>>,
+    targets: SortedMap<TargetId, Arc<Target>>,
 }
 
 impl Fleet {
     /// A fleet of these targets.
     #[must_use]
-    pub fn new(mut targets: Vec<Arc<Target>>) -> Self {
-        targets.sort_by(|a, b| a.id.cmp(&b.id));
-        Self { targets }
-    }
-
-    fn position(&self, id: &str) -> Result<usize, usize> {
-        self.targets.binary_search_by(|t| (*t.id).cmp(id))
+    pub fn new(targets: Vec<Arc<Target>>) -> Self {
+        let targets = targets.into_iter().map(|t| (t.id.clone(), t));
+        Self {
+            targets: targets.collect(),
+        }
     }
 
     /// The target of this id.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Arc<Target>> {
-        self.position(id).ok().map(|i| &self.targets[i])
+        self.targets.get(id)
     }
 
     /// Adds or replaces a target; returns the one it replaced.
     pub fn insert(&mut self, target: Arc<Target>) -> Option<Arc<Target>> {
-        match self.position(&target.id) {
-            Ok(i) => Some(std::mem::replace(&mut self.targets[i], target)),
-            Err(i) => {
-                self.targets.insert(i, target);
-                None
-            }
-        }
+        self.targets.insert(target.id.clone(), target)
     }
 
     /// Removes a target.
     pub fn remove(&mut self, id: &str) -> Option<Arc<Target>> {
-        self.position(id).ok().map(|i| self.targets.remove(i))
+        self.targets.remove(id)
     }
 
     /// Every target, sorted by id.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Target>> {
-        self.targets.iter()
+        self.targets.values()
     }
 
     /// The targets of one service.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Target>> {
-        self.targets.iter().filter(move |t| *t.service == *service)
+        self.iter().filter(move |t| *t.service == *service)
     }
 
     /// Number of targets.
--- a/crates/coriandercove_router/src/peers.rs
+++ b/crates/coriandercove_router/src/peers.rs
@@ -117,7 +117,7 @@
 
     fn send(&self) {
         let now = self.router.now();
-        let peers = self.addresses.borrow().keys().count();
+        let peers = self.addresses.borrow().len();
         let periods = peers.div_ceil(FULL_RATE_PEERS).clamp(1, MAX_PERIODS) as u64;
         self.ticks.set(self.ticks.get() + 1);
         if !self.ticks.get().is_multiple_of(periods) {
--- a/crates/coriandercove_router/src/placer/placements.rs
+++ b/crates/coriandercove_router/src/placer/placements.rs
@@ -303,7 +303,7 @@
     /// Targets of which something is known.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.known.keys().count()
+        self.known.len()
     }
 
     /// Whether nothing is known.
