Keep the sums over the peers' digests up to date by what changed

Each digest summed all targets of all peers anew: with 37 entries some 2,000 additions for each of 50 datagrams a second, at each entry. The new digest is added and the old one taken out. A test compares the sums with those of a fresh load over 3,000 random digests, replacements and expiries.

--- a/crates/coriandercove_router/src/load.rs
+++ b/crates/coriandercove_router/src/load.rs
@@ -77,7 +77,7 @@
     own_links: SortedMap<ZonePair, u64>,
     /// Each peer's last digest with the time of its arrival.
     peers: SortedMap<NodeId, (Time, Digest)>,
-    /// Sum over the peers, kept up to date by [`Load::on_digest`] and [`Load::expire`].
+    /// Sums over the peers' last digests, without targets and links that they do not use.
     others: SortedMap<SocketAddr, Work>,
     other_links: SortedMap<ZonePair, u64>,
 }
@@ -85,32 +85,22 @@
 impl Load {
     /// Adds work of this entry.
     pub fn begin(&mut self, target: SocketAddr, work: Work) {
-        self.own.get_or_insert_with(target, Work::default).add(work);
+        add_work(&mut self.own, target, work);
     }
 
     /// Removes work of this entry that was added before.
     pub fn end(&mut self, target: SocketAddr, work: Work) {
-        if let Some(own) = self.own.get_mut(&target) {
-            own.subtract(work);
-            if own.is_idle() {
-                self.own.remove(&target);
-            }
-        }
+        remove_work(&mut self.own, target, work);
     }
 
     /// Adds prompt tokens that cross between two zones.
     pub fn begin_transfer(&mut self, link: ZonePair, tokens: u64) {
-        *self.own_links.get_or_insert_with(link, || 0) += tokens;
+        add_tokens(&mut self.own_links, link, tokens);
     }
 
     /// Removes prompt tokens that were added before.
     pub fn end_transfer(&mut self, link: &ZonePair, tokens: u64) {
-        if let Some(own) = self.own_links.get_mut(link) {
-            *own = own.saturating_sub(tokens);
-            if *own == 0 {
-                self.own_links.remove(link);
-            }
-        }
+        remove_tokens(&mut self.own_links, link, tokens);
     }
 
     /// Prompt tokens of all entries that cross between two zones now.
@@ -122,33 +112,40 @@
 
     /// Takes a peer's digest in.
     pub fn on_digest(&mut self, from: NodeId, digest: Digest, now: Time) {
-        self.peers.insert(from, (now, digest));
-        self.sum();
+        for (target, work) in &digest.work {
+            add_work(&mut self.others, *target, *work);
+        }
+        for (link, tokens) in &digest.links {
+            add_tokens(&mut self.other_links, link.clone(), *tokens);
+        }
+        if let Some((_, old)) = self.peers.insert(from, (now, digest)) {
+            self.forget(&old);
+        }
     }
 
     /// Forgets digests that are too old.
     pub fn expire(&mut self, now: Time) {
-        let before = self.peers.keys().count();
-        self.peers
-            .retain(|_, (at, _)| now.saturating_sub(*at) < DIGEST_LIFETIME);
-        if self.peers.keys().count() != before {
-            self.sum();
+        let mut expired = Vec::new();
+        self.peers.retain(|_, (at, digest)| {
+            let is_recent = now.saturating_sub(*at) < DIGEST_LIFETIME;
+            if !is_recent {
+                expired.push(std::mem::take(digest));
+            }
+            is_recent
+        });
+        for digest in expired {
+            self.forget(&digest);
         }
     }
 
-    fn sum(&mut self) {
-        let mut others = SortedMap::default();
-        let mut links = SortedMap::default();
-        for (_, digest) in self.peers.values() {
-            for (target, work) in &digest.work {
-                others.get_or_insert_with(*target, Work::default).add(*work);
-            }
-            for (link, tokens) in &digest.links {
-                *links.get_or_insert_with(link.clone(), || 0) += *tokens;
-            }
+    /// Takes a digest out of the sums.
+    fn forget(&mut self, digest: &Digest) {
+        for (target, work) in &digest.work {
+            remove_work(&mut self.others, *target, *work);
+        }
+        for (link, tokens) in &digest.links {
+            remove_tokens(&mut self.other_links, link, *tokens);
         }
-        self.others = others;
-        self.other_links = links;
     }
 
     /// Work of all entries at a target.
@@ -181,6 +178,35 @@
     /// Peers whose digest is recent.
     #[must_use]
     pub fn peers(&self) -> usize {
-        self.peers.keys().count()
+        self.peers.len()
+    }
+}
+
+fn add_work(sums: &mut SortedMap<SocketAddr, Work>, target: SocketAddr, work: Work) {
+    sums.get_or_insert_with(target, Work::default).add(work);
+}
+
+fn remove_work(sums: &mut SortedMap<SocketAddr, Work>, target: SocketAddr, work: Work) {
+    if let Some(sum) = sums.get_mut(&target) {
+        sum.subtract(work);
+        if sum.is_idle() {
+            sums.remove(&target);
+        }
+    }
+}
+
+fn add_tokens(sums: &mut SortedMap<ZonePair, u64>, link: ZonePair, tokens: u64) {
+    *sums.get_or_insert_with(link, || 0) += tokens;
+}
+
+fn remove_tokens(sums: &mut SortedMap<ZonePair, u64>, link: &ZonePair, tokens: u64) {
+    if let Some(sum) = sums.get_mut(link) {
+        *sum = sum.saturating_sub(tokens);
+        if *sum == 0 {
+            sums.remove(link);
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
