--- a/crates/coriandercove_state/src/membership/detector.rs
+++ b/crates/coriandercove_state/src/membership/detector.rs
@@ -29,8 +29,9 @@
         }
         self.find_silent(now);
         self.find_silent_zones(now);
-        self.give_up_silent(now);
-        self.give_up_unreachable(now);
+        let is_alone = self.mostly_silent(now);
+        self.give_up_silent(now, is_alone);
+        self.give_up_unreachable(now, is_alone);
         self.forget(now);
         self.tick_gossip(now);
     }
@@ -178,6 +179,9 @@
     }
 
     fn set_liveness(&mut self, key: MemberKey, liveness: Liveness) {
+        if liveness == Liveness::Dead {
+            self.counters.deaths += 1;
+        }
         if let Some(member) = self.table.get_mut(key) {
             member.record.liveness = liveness;
         }
@@ -187,36 +191,34 @@
     }
 
     /// Gives up observed members that stayed silent.
-    fn give_up_silent(&mut self, now: Time) {
+    fn give_up_silent(&mut self, now: Time, is_alone: bool) {
         let after = self.cfg.dead_after;
-        let alone = self.mostly_silent(now);
         let mut due = Vec::new();
         for (key, member) in &self.table.members {
             let over = member.silent.is_some_and(|s| s + after <= now);
             let mine = member.observed.is_some_and(|o| o + after <= now);
             if member.record.liveness == Liveness::Suspect && over && mine {
                 let zone = self.silent_zones.contains(&*member.record.info.zone);
-                due.push((*key, zone || alone));
+                let liveness = if zone || is_alone {
+                    Liveness::Unreachable
+                } else {
+                    Liveness::Dead
+                };
+                due.push((*key, liveness));
             }
         }
-        for (key, unreachable) in due {
-            if unreachable {
-                self.set_liveness(key, Liveness::Unreachable);
-            } else {
-                self.counters.deaths += 1;
-                self.set_liveness(key, Liveness::Dead);
-            }
+        for (key, liveness) in due {
+            self.set_liveness(key, liveness);
         }
     }
 
     /// Gives up unreachable members that stay silent after their zone has returned. Each entry
     /// does so by itself, because a rumour of a death does not undo one of a silent zone.
-    fn give_up_unreachable(&mut self, now: Time) {
+    fn give_up_unreachable(&mut self, now: Time, is_alone: bool) {
         let after = self.cfg.dead_after;
-        let alone = self.mostly_silent(now);
         let mut due = Vec::new();
         for (key, member) in &mut self.table.members {
-            let is_excused = alone || self.silent_zones.contains(&*member.record.info.zone);
+            let is_excused = is_alone || self.silent_zones.contains(&*member.record.info.zone);
             if member.record.liveness != Liveness::Unreachable || is_excused {
                 member.zone_heard = None;
             } else if *member.zone_heard.get_or_insert(now) + after <= now {
@@ -224,7 +226,6 @@
             }
         }
         for key in due {
-            self.counters.deaths += 1;
             self.set_liveness(key, Liveness::Dead);
         }
     }
