--- a/crates/coriandercove_router/src/heard.rs
+++ b/crates/coriandercove_router/src/heard.rs
@@ -14,29 +14,38 @@
 const TOLERANCE: Duration = Duration::from_millis(800);
 
 data! {
-    /// Store revisions up to which an entry knows each topic.
+    /// A value for each topic.
     #[derive(Copy, Default)]
-    pub struct Revisions {
+    pub struct PerTopic<T> {
         /// Of the configuration.
-        pub configuration: u64,
+        pub configuration: T,
         /// Of the targets.
-        pub targets: u64,
+        pub targets: T,
     }
 }
 
-impl Revisions {
-    fn of(self, topic: Topic) -> u64 {
+/// Store revisions up to which an entry knows each topic.
+pub type Revisions = PerTopic<u64>;
+
+impl<T: Copy> PerTopic<T> {
+    fn of(self, topic: Topic) -> T {
         match topic {
             Topic::Configuration => self.configuration,
             Topic::Targets => self.targets,
         }
     }
 
-    fn raise(&mut self, topic: Topic, revision: u64) {
-        let value = match topic {
+    fn of_mut(&mut self, topic: Topic) -> &mut T {
+        match topic {
             Topic::Configuration => &mut self.configuration,
             Topic::Targets => &mut self.targets,
-        };
+        }
+    }
+}
+
+impl Revisions {
+    fn raise(&mut self, topic: Topic, revision: u64) {
+        let value = self.of_mut(topic);
         *value = revision.max(*value);
     }
 }
@@ -51,8 +60,8 @@
     changes: Cell<Revisions>,
     /// Highest changes that some peer saw.
     peers: Cell<Revisions>,
-    /// When the platform last answered for the configuration and for the targets.
-    answered: Cell<(Time, Time)>,
+    /// When the platform last answered.
+    answered: Cell<PerTopic<Time>>,
     changed: Notify,
 }
 
@@ -70,21 +79,14 @@
     /// Notes that the platform answered for a topic.
     pub fn on_answer(&self, topic: Topic, now: Time) {
         let mut answered = self.answered.get();
-        match topic {
-            Topic::Configuration => answered.0 = now,
-            Topic::Targets => answered.1 = now,
-        }
+        *answered.of_mut(topic) = now;
         self.answered.set(answered);
     }
 
     /// When the platform last answered for a topic; the start if it never did.
     #[must_use]
     pub fn answered(&self, topic: Topic) -> Time {
-        let (configuration, targets) = self.answered.get();
-        match topic {
-            Topic::Configuration => configuration,
-            Topic::Targets => targets,
-        }
+        self.answered.get().of(topic)
     }
 
     /// Last changes that this entry saw.
