Remove what the router did or kept twice

A failed probe and a failed connection noted a lost target by steps of their own; streams waited by a select inside of which another wait began; requests in flight were counted beside their gauge; two senders repeated one exchange; and the settings were read twice at the start. A stream that another one's probe wakes in vain now keeps its silence instead of beginning it anew.

--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -368,11 +368,10 @@
 
 async fn probe(router: Rc<Router>, address: SocketAddr) {
     let request = router.dialect.report_request();
-    let is_alive = call(address, request, PROBE_TIMEOUT).await.is_ok();
-    router.pulse.borrow_mut().end_probe(address, is_alive);
-    if !is_alive {
-        router.suspect(address, "probe");
-        router.found_lost.notify_waiters();
+    if call(address, request, PROBE_TIMEOUT).await.is_ok() {
+        router.pulse.borrow_mut().end_probe(address, true);
+    } else {
+        router.lost(address, "probe");
     }
 }
 
--- a/crates/coriandercove_router/src/process.rs
+++ b/crates/coriandercove_router/src/process.rs
@@ -48,12 +48,6 @@
         /// Why.
         source: std::io::Error,
     },
-    /// The settings cannot be used.
-    #[snafu(display("{source}"))]
-    Settings {
-        /// Why.
-        source: SettingsError,
-    },
     /// A signal cannot be handled.
     #[snafu(display("signals: {source}"))]
     Signals {
@@ -72,7 +66,7 @@
     signal(kind).context(SignalsSnafu)
 }
 
-/// Reads the settings, at the start and with each SIGHUP.
+/// Reads the settings again, with each SIGHUP.
 pub type SettingsSource = Box<dyn Fn() -> Result<Settings, SettingsError>>;
 
 /// Runs an entry until SIGTERM or SIGINT.
@@ -80,13 +74,13 @@
 /// # Errors
 /// [`StartError`] if an address cannot be bound or signals cannot be handled.
 pub async fn run(
+    settings: Settings,
     source: SettingsSource,
     dialect: Rc<dyn Dialect>,
     directory: Rc<dyn Directory>,
     log: Logger,
     lines: Lines,
 ) -> Result<(), StartError> {
-    let settings = source().context(SettingsSnafu)?;
     let mut last = settings.clone();
     let callers = listen("callers", settings.callers).await?;
     let readiness = listen("readiness", settings.readiness).await?;
@@ -170,7 +164,7 @@
     let grace = router.live.get().grace.saturating_sub(EXIT_MARGIN);
     router.is_leaving.set(true);
     info!(router.log, "stopping"; "connections" => front.open(),
-        "requests" => router.in_flight.get());
+        "requests" => router.metrics.in_flight.get());
     tokio::time::sleep(NOTICE.min(grace / 2)).await;
     front.close();
     while front.open() > 0 && router.now().saturating_sub(began) < grace {
@@ -178,7 +172,7 @@
     }
     if front.open() > 0 {
         warn!(router.log, "stopped with open connections"; "connections" => front.open(),
-            "requests" => router.in_flight.get());
+            "requests" => router.metrics.in_flight.get());
     } else {
         info!(router.log, "stopped");
     }
--- a/crates/coriandercove_router/src/proxy/accounting.rs
+++ b/crates/coriandercove_router/src/proxy/accounting.rs
@@ -42,7 +42,6 @@
 
 impl Watched {
     pub(super) fn new(router: &Rc<Router>, label: &RequestLabel, arrived: Time) -> Self {
-        router.in_flight.set(router.in_flight.get() + 1);
         router.metrics.in_flight.inc();
         Self {
             router: Rc::clone(router),
@@ -59,7 +58,6 @@
 
 impl Drop for Watched {
     fn drop(&mut self) {
-        self.router.in_flight.set(self.router.in_flight.get() - 1);
         self.router.metrics.in_flight.dec();
         if !self.is_done {
             let took = self.router.now().saturating_sub(self.arrived);
--- a/crates/coriandercove_router/src/proxy/job.rs
+++ b/crates/coriandercove_router/src/proxy/job.rs
@@ -225,10 +225,8 @@
             ExchangeError::Broken { .. } => Failure::Unknown,
         };
         if failure == Failure::NotSent {
-            self.router.pulse.borrow_mut().end_probe(address, false);
-            self.router.found_lost.notify_waiters();
-        }
-        if failure == Failure::NotSent || hops.is_empty() {
+            self.router.lost(address, "connection");
+        } else if hops.is_empty() {
             self.router.suspect(address, "connection");
         }
         Failed {
--- a/crates/coriandercove_router/src/pulse.rs
+++ b/crates/coriandercove_router/src/pulse.rs
@@ -68,11 +68,7 @@
         if is_heard || is_recent {
             return false;
         }
-        let probe = Probe {
-            began: now,
-            outcome: Outcome::Pending,
-        };
-        self.probes.insert(target, probe);
+        self.begin(target, now);
         true
     }
 
@@ -82,14 +78,18 @@
             p.outcome == Outcome::Pending && now.saturating_sub(p.began) < ABANDONED
         });
         if !is_pending {
-            let probe = Probe {
-                began: now,
-                outcome: Outcome::Pending,
-            };
-            self.probes.insert(target, probe);
+            self.begin(target, now);
         }
     }
 
+    fn begin(&mut self, target: SocketAddr, now: Time) {
+        let probe = Probe {
+            began: now,
+            outcome: Outcome::Pending,
+        };
+        self.probes.insert(target, probe);
+    }
+
     /// Takes the end of a target's last probe or connection in.
     pub fn end_probe(&mut self, target: SocketAddr, is_alive: bool) {
         if let Some(probe) = self.probes.get_mut(&target) {
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -1,7 +1,6 @@
 //! Bodies of answers: whole ones, and streams that go on at another target when one breaks.
 
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -131,6 +130,17 @@
     Deadline,
 }
 
+impl Read {
+    fn of(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Self {
+        match frame {
+            // Trailers carry nothing that is used.
+            Some(Ok(frame)) => Self::Data(frame.into_data().unwrap_or_default()),
+            Some(Err(_)) => Self::Broken("connection"),
+            None => Self::End,
+        }
+    }
+}
+
 /// A body that forwards a stream from its first attempt on.
 pub(crate) fn stream(job: Job, started: Started) -> Body {
     let gap = job.route.gap_objective.map(|g| g.mul_f64(EARLY_SHARE));
@@ -270,34 +280,21 @@
         let Some(current) = &mut self.current else {
             return Read::Broken("gap");
         };
-        let router = Rc::clone(&self.job.router);
-        let frame = tokio::select! {
-            biased;
-            frame = current.exchange.body.frame() => Ok(frame),
-            // Another stream's probe may have found a part of this path lost.
-            () = router.found_lost.notified(), if self.first_event.is_some() => {
-                if self.job.silent_part(current, self.last_bytes).is_some() {
-                    return Read::Silent;
+        let mut wait = std::pin::pin!(tokio::time::sleep(left.min(silence)));
+        loop {
+            tokio::select! {
+                biased;
+                frame = current.exchange.body.frame() => return Read::of(frame),
+                // Another stream's probe may have found a part of this path lost.
+                () = self.job.router.found_lost.notified(), if self.first_event.is_some() => {
+                    if self.job.silent_part(current, self.last_bytes).is_some() {
+                        return Read::Silent;
+                    }
                 }
-                tokio::time::timeout(left.min(silence), current.exchange.body.frame()).await
-            }
-            () = tokio::time::sleep(left.min(silence)) => {
-                if silence < left {
-                    return Read::Silent;
+                () = &mut wait => {
+                    return if silence < left { Read::Silent } else { Read::Deadline };
                 }
-                return Read::Deadline;
             }
-        };
-        match frame {
-            Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(bytes) => Read::Data(bytes),
-                // Trailers carry nothing that is used.
-                Err(_) => Read::Data(Bytes::new()),
-            },
-            Ok(Some(Err(_))) => Read::Broken("connection"),
-            Ok(None) => Read::End,
-            Err(_) if silence < left => Read::Silent,
-            Err(_) => Read::Deadline,
         }
     }
 
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -64,8 +64,6 @@
     pub rng: RefCell<Rng>,
     /// Whether the process is about to stop.
     pub is_leaving: Cell<bool>,
-    /// Requests in flight.
-    pub in_flight: Cell<usize>,
 }
 
 impl Router {
@@ -93,7 +91,6 @@
             budget: RefCell::new(budget),
             rng: RefCell::new(rng),
             is_leaving: Cell::new(false),
-            in_flight: Cell::new(0),
         }
     }
 
@@ -146,6 +143,13 @@
         }
     }
 
+    /// Takes the failure of a probe or connection in, and wakes the streams through the target.
+    pub fn lost(&self, target: SocketAddr, cause: &str) {
+        self.pulse.borrow_mut().end_probe(target, false);
+        self.suspect(target, cause);
+        self.found_lost.notify_waiters();
+    }
+
     /// Takes a success of a target in.
     pub fn trust(&self, target: SocketAddr) {
         if self.suspects.borrow_mut().on_success(target) {
--- a/crates/coriandercove_router/src/upstream.rs
+++ b/crates/coriandercove_router/src/upstream.rs
@@ -100,16 +100,23 @@
 ) -> Result<Exchange, ExchangeError> {
     let (mut sender, guard) = connect(to, ATTEMPT_CONNECT_TIMEOUT).await?;
     on_connected();
-    let response = sender
-        .send_request(request.map(Full::new))
-        .await
-        .map_err(|e| ExchangeError::Broken {
-            problem: format!("{to}: {e}"),
-        })?;
-    let (head, body) = response.into_parts();
+    let (head, body) = exchange(&mut sender, to, request).await?.into_parts();
     Ok(Exchange { head, body, guard })
 }
 
+async fn exchange(
+    sender: &mut Sender,
+    to: SocketAddr,
+    request: Request<Bytes>,
+) -> Result<Response<Incoming>, ExchangeError> {
+    let broken = |e: hyper::Error| ExchangeError::Broken {
+        problem: format!("{to}: {e}"),
+    };
+    sender.ready().await.map_err(broken)?;
+    let response = sender.send_request(request.map(Full::new)).await;
+    response.map_err(broken)
+}
+
 /// A whole answer.
 #[derive(Debug, Clone)]
 pub struct Answer {
@@ -174,20 +181,13 @@
         request: Request<Bytes>,
         timeout: Duration,
     ) -> Result<Answer, ExchangeError> {
-        let exchange = async {
+        let call = async {
             let kept = self.kept.borrow_mut().take();
             let (mut sender, guard) = match kept {
                 Some((sender, guard)) if !sender.is_closed() => (sender, guard),
                 _ => connect(self.to, CONNECT_TIMEOUT).await?,
             };
-            let broken = |e: hyper::Error| ExchangeError::Broken {
-                problem: format!("{}: {e}", self.to),
-            };
-            sender.ready().await.map_err(broken)?;
-            let response: Response<Incoming> = sender
-                .send_request(request.map(Full::new))
-                .await
-                .map_err(broken)?;
+            let response = exchange(&mut sender, self.to, request).await?;
             let (head, body) = response.into_parts();
             let body = read_body(body, MAX_CALL_BYTES).await?;
             *self.kept.borrow_mut() = Some((sender, guard));
@@ -197,7 +197,7 @@
                 body,
             })
         };
-        tokio::time::timeout(timeout, exchange)
+        tokio::time::timeout(timeout, call)
             .await
             .unwrap_or_else(|_| {
                 Err(ExchangeError::Broken {
--- a/crates/coriandercove_router/tests/proxy.rs
+++ b/crates/coriandercove_router/tests/proxy.rs
@@ -326,7 +326,7 @@
     let entry = Entry::start(&[address]).await;
     let mut caller = entry.request("/resumable/x", CLOSE).await;
     read_until(&mut caller, "id: 1").await;
-    assert_that!(entry.router.in_flight.get(), eq(1));
+    assert_that!(entry.router.metrics.in_flight.get(), eq(1));
     read_all(&mut caller).await;
-    assert_that!(entry.router.in_flight.get(), eq(0));
+    assert_that!(entry.router.metrics.in_flight.get(), eq(0));
 }
