--- a/crates/coriandercove_local/tests/processes/fleet.rs
+++ b/crates/coriandercove_local/tests/processes/fleet.rs
@@ -4,7 +4,9 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::Once;
+use std::sync::OnceLock;
+
+use coriandercove_standin::programs;
 
 /// Secret of the deployment and token of its operators.
 const SECRET: &str = "a secret of the process test";
@@ -44,25 +46,10 @@
     "coriandercove_cli",
 ];
 
-/// A program of the workspace. `cargo test` does not build the programs of other crates, so the
-/// first call builds them; otherwise the test could run a program of an earlier version.
+/// A program of the workspace; the first call builds them.
 pub fn program(name: &str) -> PathBuf {
-    static BUILD: Once = Once::new();
-    let test = std::env::current_exe().unwrap();
-    let folder = test.parent().and_then(Path::parent).unwrap();
-    BUILD.call_once(|| {
-        let mut build = Command::new(env!("CARGO"));
-        build.args(["build", "--quiet", "--bins"]);
-        build.args(PROGRAMS.iter().flat_map(|name| ["--package", name]));
-        build.arg("--target-dir").arg(folder.parent().unwrap());
-        if folder.ends_with("release") {
-            build.arg("--release");
-        }
-        assert!(
-            build.status().unwrap().success(),
-            "the programs do not build"
-        );
-    });
+    static FOLDER: OnceLock<PathBuf> = OnceLock::new();
+    let folder = FOLDER.get_or_init(|| programs::build(&PROGRAMS).unwrap());
     folder.join(name)
 }
 
--- a/crates/coriandercove_router/src/layout/tests.rs
+++ b/crates/coriandercove_router/src/layout/tests.rs
@@ -72,6 +72,14 @@
     }
 }
 
+/// The site with its first layout carried out.
+fn laid_out() -> Vec<Holder> {
+    let mut holders = site();
+    let assignments = plan(&engine(), &holders);
+    carry_out(&mut holders, &assignments);
+    holders
+}
+
 fn copies(holders: &[Holder], layer: u16) -> usize {
     let held = holders.iter().filter_map(|h| h.layers);
     held.filter(|l| l.first <= layer && layer < l.end).count()
@@ -103,11 +111,7 @@
 /// Guards against moves that take capacity away where nothing was lost.
 #[gtest]
 fn a_whole_layout_is_left_alone() {
-    let engine = engine();
-    let mut holders = site();
-    let assignments = plan(&engine, &holders);
-    carry_out(&mut holders, &assignments);
-    expect_that!(rebalance(&engine, &holders), none());
+    expect_that!(rebalance(&engine(), &laid_out()), none());
 }
 
 /// Guards against a chain size that suits one fleet alone: the small site keeps five copies, the
@@ -134,9 +138,7 @@
 #[gtest]
 fn lost_layers_are_filled_from_layers_with_much_room() {
     let engine = engine();
-    let mut holders = site();
-    let assignments = plan(&engine, &holders);
-    carry_out(&mut holders, &assignments);
+    let mut holders = laid_out();
     for lost in ["a-a100-0", "b-a100-0"] {
         holders.retain(|h| &*h.id != lost);
     }
@@ -155,9 +157,7 @@
 #[gtest]
 fn a_layer_without_a_target_is_filled_first() {
     let engine = engine();
-    let mut holders = site();
-    let assignments = plan(&engine, &holders);
-    carry_out(&mut holders, &assignments);
+    let mut holders = laid_out();
     holders.retain(|h| h.layers.is_some_and(|l| l.first >= 8));
     let assignment = rebalance(&engine, &holders).unwrap();
     expect_that!(assignment.layers.first, eq(0));
@@ -167,9 +167,7 @@
 #[gtest]
 fn a_restarted_target_takes_the_layers_it_left() {
     let engine = engine();
-    let mut holders = site();
-    let assignments = plan(&engine, &holders);
-    carry_out(&mut holders, &assignments);
+    let mut holders = laid_out();
     let lost = holders.iter_mut().find(|h| &*h.id == "b-a100-0").unwrap();
     let had = lost.layers.take().unwrap();
     let again = plan(&engine, &holders);
--- a/crates/coriandercove_router/src/path/tests.rs
+++ b/crates/coriandercove_router/src/path/tests.rs
@@ -27,20 +27,42 @@
     answer: 200,
 };
 
-fn pick(candidates: &[Candidate], load: &Load) -> std::result::Result<Vec<String>, NoPath> {
-    let engine = engine();
-    let view = View {
-        engine: &engine,
+/// What an entry in zone `a` sees, for a new request or one that runs.
+fn view<'a>(
+    engine: &'a EngineModel,
+    candidates: &'a [Candidate],
+    load: &'a Load,
+    running: Option<&'a [Hop]>,
+) -> View<'a> {
+    View {
+        engine,
         candidates,
         load,
         entry_zone: "a",
         first_event_limit: Duration::from_secs(1),
-        running: None,
-    };
-    choose(view, DEMAND).map(|path| {
-        let hops = path.hops.iter();
-        hops.map(|h| format!("{}:{}", h.id, h.layers)).collect()
-    })
+        running,
+    }
+}
+
+/// A part of a running request's path, in zone `a`.
+fn hop(name: &str, layers: (u16, u16)) -> Hop {
+    let part = part(name, "a", layers, 1.0);
+    Hop {
+        id: part.id,
+        zone: part.zone,
+        address: part.address,
+        layers: part.layers,
+    }
+}
+
+fn names(path: &Path) -> Vec<String> {
+    let hops = path.hops.iter();
+    hops.map(|h| format!("{}:{}", h.id, h.layers)).collect()
+}
+
+fn pick(candidates: &[Candidate], load: &Load) -> std::result::Result<Vec<String>, NoPath> {
+    let engine = engine();
+    choose(view(&engine, candidates, load, None), DEMAND).map(|path| names(&path))
 }
 
 /// Guards against a path with a gap, an overlap or a target twice, over many random fleets.
@@ -64,13 +86,10 @@
             })
             .collect();
         let engine = engine();
+        let load = Load::default();
         let view = View {
-            engine: &engine,
-            candidates: &candidates,
-            load: &Load::default(),
-            entry_zone: "a",
             first_event_limit: Duration::from_secs(60),
-            running: None,
+            ..view(&engine, &candidates, &load, None)
         };
         let Ok(path) = choose(view, DEMAND) else {
             continue;
@@ -176,21 +195,10 @@
         part("faster", "a", (0, 40), 2.4),
         part("second", "a", (30, 80), 2.4),
     ];
-    let first = Hop {
-        id: Arc::from("first"),
-        zone: Arc::from("a"),
-        address: candidates[0].address,
-        layers: LayerRange::new(0, 35),
-    };
-    let view = View {
-        engine: &engine,
-        candidates: &candidates,
-        load: &Load::default(),
-        entry_zone: "a",
-        first_event_limit: Duration::from_secs(1),
-        running: Some(std::slice::from_ref(&first)),
-    };
-    let path = choose(view, DEMAND).unwrap();
+    let first = hop("first", (0, 35));
+    let running = Some(std::slice::from_ref(&first));
+    let load = Load::default();
+    let path = choose(view(&engine, &candidates, &load, running), DEMAND).unwrap();
     expect_that!(path.hops[0], eq(&first));
     expect_that!(path.hops[1].layers, eq(LayerRange::new(35, 80)));
 }
@@ -223,14 +231,8 @@
         part("t3", "a", (40, 60), 2.4),
     ];
     candidates[1].work.kv = candidates[1].kv_capacity;
-    let view = View {
-        engine: &engine,
-        candidates: &candidates,
-        load: &Load::default(),
-        entry_zone: "a",
-        first_event_limit: Duration::from_secs(1),
-        running: None,
-    };
+    let load = Load::default();
+    let view = view(&engine, &candidates, &load, None);
     let expected = Narrowest {
         layer: 60,
         holders: 1,
@@ -263,12 +265,6 @@
         part("b1", "b", (26, 54), 5.6),
         part("b2", "b", (54, 80), 5.6),
     ];
-    let hop = |name: &str, layers: (u16, u16)| Hop {
-        id: Arc::from(name),
-        zone: Arc::from("a"),
-        address: part(name, "a", layers, 1.0).address,
-        layers: LayerRange::new(layers.0, layers.1),
-    };
     let running = [
         hop("a1", (0, 26)),
         hop("a2", (26, 52)),
@@ -276,22 +272,10 @@
         hop("a4", (66, 80)),
     ];
     let engine = engine();
-    let view = View {
-        engine: &engine,
-        candidates: &candidates,
-        load: &Load::default(),
-        entry_zone: "a",
-        first_event_limit: Duration::from_secs(1),
-        running: Some(&running),
-    };
-    let path = choose(view, DEMAND).unwrap();
-    let names: Vec<String> = path
-        .hops
-        .iter()
-        .map(|h| format!("{}:{}", h.id, h.layers))
-        .collect();
+    let load = Load::default();
+    let path = choose(view(&engine, &candidates, &load, Some(&running)), DEMAND).unwrap();
     expect_that!(
-        names,
+        names(&path),
         elements_are![
             eq("a1:0-26"),
             eq("b1:26-52"),
@@ -309,24 +293,11 @@
         part("a2", "a", (40, 80), 5.6),
         part("a3", "a", (40, 80), 5.6),
     ];
-    let first = Hop {
-        id: Arc::from("a1"),
-        zone: Arc::from("a"),
-        address: candidates[0].address,
-        layers: LayerRange::new(0, 40),
-    };
-    let engine = engine();
+    let first = [hop("a1", (0, 40))];
+    let (engine, load) = (engine(), Load::default());
     for (handicaps, expected) in [((1.0, 1.3), "a2"), ((1.3, 1.0), "a3")] {
         (candidates[1].handicap, candidates[2].handicap) = handicaps;
-        let view = View {
-            engine: &engine,
-            candidates: &candidates,
-            load: &Load::default(),
-            entry_zone: "a",
-            first_event_limit: Duration::from_secs(1),
-            running: Some(std::slice::from_ref(&first)),
-        };
-        let path = choose(view, DEMAND).unwrap();
+        let path = choose(view(&engine, &candidates, &load, Some(&first)), DEMAND).unwrap();
         expect_that!(&*path.hops[1].id, eq(expected));
     }
 }
--- a/crates/coriandercove_router/tests/proxy.rs
+++ b/crates/coriandercove_router/tests/proxy.rs
@@ -15,6 +15,22 @@
 const OK: &str = "HTTP/1.1 200 OK\r\nstamp: 1\r\nlabel: r\r\n";
 const CLOSE: &str = "label: r\r\nconnection: close\r\n";
 
+/// A whole answer of a target.
+fn whole(body: &str) -> String {
+    format!("{OK}content-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// The beginning of an answer in chunks.
+fn chunked(first: &str) -> String {
+    format!("{OK}transfer-encoding: chunked\r\n\r\n{}", chunk(first))
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
 fn event(id: u32) -> String {
     format!("id: {id}\ndata: d{id}\n\n")
 }
@@ -64,7 +80,7 @@
 #[actix_rt::test]
 async fn a_second_answer_on_a_connection_is_dropped() {
     let (address, _) = target(|n, _, mut stream| async move {
-        let answer = format!("{OK}content-length: 2\r\n\r\nn{n}");
+        let answer = whole(&format!("n{n}"));
         write(&mut stream, &answer.repeat(2)).await;
         tokio::time::sleep(Duration::from_secs(5)).await;
     })
@@ -108,7 +124,7 @@
     assert_that!(answer, contains_substring("retry-after: "));
     assert_that!(seen.borrow().len(), ge(1));
     let (free, _) = target(|_, _, mut stream| async move {
-        write(&mut stream, &format!("{OK}content-length: 2\r\n\r\nok")).await;
+        write(&mut stream, &whole("ok")).await;
     })
     .await;
     let entry = Entry::start(&[full, free]).await;
@@ -186,13 +202,8 @@
             // One event is repeated; the caller has it.
             format!("{}{}{}", event(2), event(3), event(4))
         };
-        let end = if n == 0 { "" } else { "0\r\n\r\n" };
-        let chunk = format!("{:x}\r\n{text}\r\n{end}", text.len());
-        write(
-            &mut stream,
-            &format!("{OK}transfer-encoding: chunked\r\n\r\n{chunk}"),
-        )
-        .await;
+        let end = if n == 0 { "" } else { LAST_CHUNK };
+        write(&mut stream, &format!("{}{end}", chunked(&text))).await;
     })
     .await;
     let entry = Entry::start(&[address, address]).await;
@@ -208,13 +219,7 @@
 #[actix_rt::test]
 async fn a_stream_that_must_not_repeat_ends_visibly_broken() {
     let (address, seen) = target(|_, _, mut stream| async move {
-        let text = event(1);
-        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-        write(
-            &mut stream,
-            &format!("{OK}transfer-encoding: chunked\r\n\r\n{chunk}"),
-        )
-        .await;
+        write(&mut stream, &chunked(&event(1))).await;
     })
     .await;
     let entry = Entry::start(&[address, address]).await;
@@ -238,11 +243,9 @@
             .await;
             return;
         }
-        let chunk = |id| format!("{:x}\r\n{}\r\n", event(id).len(), event(id));
-        let head = format!("{OK}transfer-encoding: chunked\r\n\r\n");
-        write(&mut stream, &format!("{head}{}", chunk(1))).await;
+        write(&mut stream, &chunked(&event(1))).await;
         tokio::time::sleep(Duration::from_millis(1500)).await;
-        write(&mut stream, &format!("{}0\r\n\r\n", chunk(2))).await;
+        write(&mut stream, &format!("{}{LAST_CHUNK}", chunk(&event(2)))).await;
     })
     .await;
     let entry = Entry::start(&[address]).await;
@@ -261,7 +264,7 @@
 #[actix_rt::test]
 async fn a_head_that_is_too_long_is_refused() {
     let (address, seen) = target(|_, _, mut stream| async move {
-        write(&mut stream, &format!("{OK}content-length: 2\r\n\r\nok")).await;
+        write(&mut stream, &whole("ok")).await;
     })
     .await;
     let entry = Entry::start(&[address]).await;
--- a/crates/coriandercove_standin/src/lib.rs
+++ b/crates/coriandercove_standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod engine;
 pub mod faults;
+pub mod programs;
 pub mod server;
 pub mod service;
 pub mod store;
