Give each local deployment a key of its own

Cause of entries_follow_targets_that_leave_die_and_join: the key of a local deployment followed from its plan's seed, so that deployments of tests that run side by side shared key and names. Entries still send to the port of a dead target; once a node of another deployment has that port it answers for it, and the dead target is back. The key is random now; the test that acts as a peer asks the deployment for it.

--- a/crates/coriandercove_local/src/deployment.rs
+++ b/crates/coriandercove_local/src/deployment.rs
@@ -90,8 +90,11 @@
     /// # Errors
     /// [`DeploymentError`] if a part does not start.
     pub fn start(plan: Plan) -> Result<Self, DeploymentError> {
-        let key = ClusterKey::from_secret(&format!("local deployment {}", plan.seed));
-        let new_key = generate_key(&mut StdRng::from_os_rng());
+        let mut rng = StdRng::from_os_rng();
+        // Not from the seed: a deployment with the same plan beside this one may get the port of a dead
+        // node, and would pass for it with the same key.
+        let key = ClusterKey::new(rand::Rng::random(&mut rng));
+        let new_key = generate_key(&mut rng);
         let mut config = base_config(&plan);
         let mut account = account("workshop");
         account.keys.push(new_key.hash);
@@ -308,6 +311,12 @@
         &self.plan
     }
 
+    /// The key that its processes share.
+    #[must_use]
+    pub const fn key(&self) -> &ClusterKey {
+        &self.key
+    }
+
     /// A key of the client account `workshop`.
     #[must_use]
     pub fn caller_key(&self) -> &str {
--- a/crates/coriandercove_local/tests/control.rs
+++ b/crates/coriandercove_local/tests/control.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use coriandercove_base::NodeId;
-use coriandercove_local::{Deployment, EnginePlan, EntryRole, Plan};
+use coriandercove_local::{AgentRole, Deployment, EnginePlan, EntryRole, Plan, Standin};
+use coriandercove_peer::PeerInfo;
+use coriandercove_standin::engine::{self, EngineSettings};
 use coriandercove_standin::store::Outage;
 use googletest::prelude::*;
 
@@ -115,6 +117,33 @@
     expect_true!(all_entries_use(&deployment, &dying, false));
 }
 
+/// Guards against a node of another deployment on the same machine that is taken for one's own: it may
+/// get the port of a dead target, to which entries still send, and has the same name.
+#[gtest]
+fn nodes_of_another_deployment_bring_no_target_back() {
+    let mut deployment = Deployment::start(Plan::small()).unwrap();
+    let other = Deployment::start(Plan::small()).unwrap();
+    let dead = deployment.agents[1].info.clone();
+    deployment.kill_target(&dead.node);
+    expect_true!(wait_for(|| all_entries_use(&deployment, &dead.node, false)));
+    let entries = deployment.entries.iter();
+    let seeds = entries.map(|e| e.address.clone().unwrap().addr).collect();
+    let engine = engine::start(EngineSettings::new("drafter", 0, 8, 24)).unwrap();
+    let namesake = PeerInfo {
+        incarnation: dead.incarnation + 1_000_000_000_000,
+        ..dead.clone()
+    };
+    let standin = Standin::Engine(engine);
+    let namesake = AgentRole::start(namesake, other.key(), seeds, standin, None).unwrap();
+    let end = Instant::now() + Duration::from_secs(6);
+    while Instant::now() < end {
+        let is_back = deployment.entries.iter().any(|e| uses(e, &dead.node));
+        assert_that!(is_back, eq(false));
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    namesake.kill();
+}
+
 /// Guards against a panic or a change of membership by datagrams and connections of strangers.
 #[gtest]
 fn strangers_are_counted_and_change_nothing() {
--- a/crates/coriandercove_local/tests/recovery.rs
+++ b/crates/coriandercove_local/tests/recovery.rs
@@ -13,7 +13,7 @@
 use coriandercove_base::telemetry::discard;
 use coriandercove_config::{Target, TargetKind};
 use coriandercove_local::{Deployment, EnginePlan, Plan, Role};
-use coriandercove_peer::{ClusterKey, PeerInfo, Role as PeerRole};
+use coriandercove_peer::{PeerInfo, Role as PeerRole};
 use coriandercove_standin::engine::{self, EngineHandle, EngineSettings};
 use coriandercove_target::oracle::generate;
 use coriandercove_target::{
@@ -99,7 +99,7 @@
 ) -> (Role<Agent>, EngineHandle) {
     let handle = engine::start(EngineSettings::new("drafter", 8, 16, 24)).unwrap();
     let (url, frozen) = (handle.url(), Arc::clone(frozen));
-    let key = ClusterKey::from_secret(&format!("local deployment {}", deployment.plan().seed));
+    let key = deployment.key().clone();
     let own = PeerInfo {
         node: "engine-frozen".into(),
         incarnation: 1,
