Resume stalled streams elsewhere, and bound what endless answers may take

Cause: a target that sends a byte or a comment now and then kept a stream until the request's deadline: each byte restarted the check for silence, and a target that answers probes was never left. An answer of a plain service could fill 8 MB before it was given up, a report of an engine as well; a dozen such targets exceed the memory of an entry. Ruled out: heads and header lines without end (given up at 64 KB), events without end (256 KB), interim answers without end (an honest answer at the deadline); tests show them. Change: progress is counted by events, not by bytes. After 0.8 of the time for which callers wait, a repeatable stream goes on at another target; the stalled attempt lasts until that one has begun. Answers of plain services are bounded by 1 MB, reports by 64 KB.

--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -27,8 +27,9 @@
 use crate::upstream::{Exchange, ExchangeError, call, read_body, send};
 use crate::usage::{AccountKey, account_key};
 
-/// Maximum size of a plain service's answer, which is buffered until it is complete.
-const MAX_WHOLE_ANSWER: usize = 8 * 1024 * 1024;
+/// Maximum size of a plain service's answer, which is buffered until it is complete. Dozens of
+/// targets that send without end must fit into the memory of an entry.
+const MAX_WHOLE_ANSWER: usize = 1024 * 1024;
 /// Requests in flight at one target of a plain service, for each of its slots, from which on no
 /// more are sent. Further ones would miss their objective: a third one already waits for two
 /// others.
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -18,6 +18,7 @@
 use crate::attempt::{Failure, Next};
 use crate::liveness::PROBE_LATE_AFTER;
 use crate::proxy::{LostHop, ProxiedRequest, StartedAttempt};
+use crate::routes::Route;
 use crate::sse::{Splitter, Verdict};
 
 /// Why a body ends early; the connection to the caller is closed then.
@@ -87,6 +88,25 @@
 /// Interval at which the silence is checked again while no probe is pending.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Minimum time for which callers wait for the next event of a stream.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+/// Time for which callers wait, in multiples of the objective for the first event and of the longest
+/// pause that the route allows.
+const PATIENCE_OBJECTIVES: u32 = 4;
+const PATIENCE_PAUSES: u32 = 8;
+/// Share of that time without progress after which a stream counts as stalled. The rest is enough
+/// for another target to begin.
+const STALLED_SHARE: f64 = 0.8;
+
+/// Time without progress after which a stream of this route counts as stalled, although bytes may
+/// arrive and its hops may answer probes. Sound streams pause for less, or their callers leave.
+fn stall_limit(route: &Route) -> Duration {
+    let by_objective = route.objective * PATIENCE_OBJECTIVES;
+    let by_pause = route.gap_objective.unwrap_or_default() * PATIENCE_PAUSES;
+    let patience = MIN_PATIENCE.max(by_objective).max(by_pause);
+    patience.mul_f64(STALLED_SHARE)
+}
+
 /// Maximum number of path changes of one request after lost hops.
 const MAX_PATH_CHANGES: u32 = 3;
 
@@ -114,6 +134,11 @@
     event_silence_limit: Duration,
     /// Time at which bytes last arrived, the attempt began or the path was changed.
     last_bytes: Time,
+    /// Time of the last event that brought the answer forward, at the latest the start of the attempt
+    /// or the last check for a stall.
+    last_progress: Time,
+    /// Time without progress after which the stream counts as stalled.
+    stall_limit: Duration,
     /// Wait until the silence is checked again; none if no check was made since bytes last arrived.
     next_check: Option<Duration>,
     /// Whether the stream may still be moved away from a silent target.
@@ -127,6 +152,8 @@
     Broken(&'static str),
     /// Nothing arrived for as long as the silence limit, or a hop was found lost.
     Silent,
+    /// No event brought the answer forward for as long as callers wait.
+    Stalled,
     Deadline,
 }
 
@@ -151,6 +178,8 @@
     let relay = Relay {
         event_silence_limit: gap.map_or(SILENCE_LIMIT, |g| g.min(SILENCE_LIMIT)),
         last_bytes: now,
+        last_progress: now,
+        stall_limit: stall_limit(&request.route),
         request,
         current: Some(started),
         splitter: Splitter::default(),
@@ -204,6 +233,10 @@
                     self.on_silence().await;
                     continue;
                 }
+                Read::Stalled => {
+                    self.on_stall().await;
+                    continue;
+                }
                 Read::Deadline => {
                     self.request.guard.complete();
                     self.log_end("deadline");
@@ -219,6 +252,7 @@
     /// Returns the complete events that have arrived and that the caller lacks.
     fn whole_events(&mut self) -> Result<Option<Bytes>, &'static str> {
         let mut piece: Option<BytesMut> = None;
+        let mut has_progress = false;
         while let Some(event) = self.splitter.next_event() {
             match self.request.cursor.accept(event.id) {
                 Verdict::Duplicate => continue,
@@ -234,12 +268,17 @@
                 }
                 Verdict::Forward => self.events += 1,
             }
+            // In a stream with ids, events without one are comments.
+            has_progress |= event.id.is_some() || self.request.cursor.last().is_none();
             match &mut piece {
                 // Adjacent events of the buffer are joined without a copy.
                 Some(buf) => buf.unsplit(event.bytes),
                 None => piece = Some(event.bytes),
             }
         }
+        if has_progress {
+            self.last_progress = self.request.router.now();
+        }
         let out = piece.map(BytesMut::freeze);
         if out.is_some() {
             self.record_event();
@@ -281,6 +320,16 @@
             SILENCE_LIMIT
         };
         let silence = self.next_check.unwrap_or(usual);
+        let until_stall = (self.last_progress + self.stall_limit).saturating_sub(now);
+        let may_stall = self.may_switch_target && self.request.route.repeat.is_repeatable();
+        if may_stall && until_stall.is_zero() {
+            return Read::Stalled;
+        }
+        let silence = if may_stall {
+            silence.min(until_stall)
+        } else {
+            silence
+        };
         let Some(current) = &mut self.current else {
             return Read::Broken("gap");
         };
@@ -343,6 +392,15 @@
         }
     }
 
+    /// Handles a stream without progress whose hops answer probes: another target resumes it. The
+    /// stalled attempt goes on if no other one begins.
+    async fn on_stall(&mut self) {
+        self.last_progress = self.request.router.now();
+        let next = self.request.on_failure(Failure::Unknown);
+        self.may_switch_target =
+            next == Next::Retry && self.start_elsewhere("stalled").await.is_ok();
+    }
+
     /// Starts another attempt. The previous one ends once the answer of the new one has begun.
     async fn start_elsewhere(&mut self, cause: &'static str) -> Result<(), Failure> {
         self.request.router.metrics.continuation(cause);
@@ -355,6 +413,7 @@
         self.splitter.clear();
         self.next_check = None;
         self.last_bytes = self.request.router.now();
+        self.last_progress = self.last_bytes;
         self.current = Some(started);
         Ok(())
     }
--- a/crates/coriandercove_router/src/upstream.rs
+++ b/crates/coriandercove_router/src/upstream.rs
@@ -142,11 +142,14 @@
     Ok(whole.to_bytes())
 }
 
-/// Maximum size of an answer of the platform or of a report, in bytes; the store limits a list to 1
-/// MB.
-const MAX_CALL_BYTES: usize = 8 * 1024 * 1024;
-
-/// Sends one request on a new connection and reads the complete answer.
+/// Maximum size of an answer of the platform, in bytes; the store limits a list to 1 MB.
+const MAX_STORE_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum size of an engine's report or answer to an order, in bytes. The reports of all engines
+/// are read at about the same time.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
+/// Sends one request to an engine's control interface on a new connection and reads the complete
+/// answer.
 ///
 /// # Errors
 /// As for [`send`]; also [`ExchangeError::Broken`] if `timeout` passes.
@@ -155,7 +158,11 @@
     request: Request<Bytes>,
     timeout: Duration,
 ) -> Result<Answer, ExchangeError> {
-    Channel::new(to).call(request, timeout).await
+    let channel = Channel {
+        limit: MAX_REPORT_BYTES,
+        ..Channel::new(to)
+    };
+    channel.call(request, timeout).await
 }
 
 /// A client for calls to one address that follow one another; keeps its connection open between
@@ -163,6 +170,8 @@
 #[derive(Debug)]
 pub struct Channel {
     to: SocketAddr,
+    /// Maximum size of an answer, in bytes.
+    limit: usize,
     kept: RefCell<Option<(Sender, ConnectionGuard)>>,
 }
 
@@ -172,6 +181,7 @@
     pub fn new(to: SocketAddr) -> Self {
         Self {
             to,
+            limit: MAX_STORE_BYTES,
             kept: RefCell::new(None),
         }
     }
@@ -193,7 +203,7 @@
             };
             let response = exchange(&mut sender, self.to, request).await?;
             let (head, body) = response.into_parts();
-            let body = read_body(body, MAX_CALL_BYTES).await?;
+            let body = read_body(body, self.limit).await?;
             *self.kept.borrow_mut() = Some((sender, guard));
             Ok(Answer {
                 status: head.status,
--- a/crates/coriandercove_router/tests/flood.rs
+++ b/crates/coriandercove_router/tests/flood.rs
@@ -204,7 +204,7 @@
 /// Delivers the digests that are due; the entries send theirs one after the other.
 fn exchange(entries: &mut [Entry], ms: u64, now: Time) {
     for from in 0..entries.len() {
-        if (ms + from as u64 * DIGEST_MS / ENTRIES as u64) % DIGEST_MS != 0 {
+        if !(ms + from as u64 * DIGEST_MS / ENTRIES as u64).is_multiple_of(DIGEST_MS) {
             continue;
         }
         let (digest, report) = (entries[from].load.digest(), entries[from].usage.report(now));
