Answer callers whose connections were established just before a planned stop

Cause: at a planned stop the listener was dropped with the connections that waited in its queue, and hyper closes a connection at once on which no request was read yet. Ruled out: accepting with priority over the stop (the runtime has not polled the listener yet, the test still failed). Change: after the stop has begun, waiting connections are accepted from the operating system until there is none; a connection without a request has 0.3 s to receive its first one.

--- a/crates/coriandercove_router/src/server.rs
+++ b/crates/coriandercove_router/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,6 +26,8 @@
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 /// Pause after a failed accept, so that exhausted descriptors do not cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time after closing begins in which a connection without a request may still receive one.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 /// File descriptors for each caller: its own connection and the one to the target.
 const DESCRIPTORS_PER_CALLER: usize = 2;
 /// File descriptors reserved for the store, peers, listeners and files.
@@ -61,8 +64,9 @@
         self.closing.send_replace(true);
     }
 
-    /// Accepts connections of callers until [`Self::close_gracefully`] is called. Connections
-    /// beyond the limit that the file descriptors allow are closed at once and counted as refused.
+    /// Accepts connections of callers until [`Self::close_gracefully`] is called, and then those
+    /// that are established already; their callers may have sent a request. Connections beyond the
+    /// limit that the file descriptors allow are closed at once and counted as refused.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let max_connections = self
             .router
@@ -74,21 +78,46 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = closing.wait_for(|c| *c) => return,
+                _ = closing.wait_for(|c| *c) => break,
             };
             match accepted {
-                Ok((stream, _)) if self.open.get() < max_connections => {
-                    actix_rt::spawn(Rc::clone(&self).connection(stream));
-                }
-                Ok(_) => {
-                    self.router.metrics.refusal("connections");
-                }
+                Ok((stream, _)) => self.serve(stream, max_connections),
                 Err(e) => {
                     warn!(self.router.log, "accept failed"; "cause" => %e);
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
+        if let Err(e) = self.accept_waiting(listener, max_connections) {
+            warn!(self.router.log, "waiting connections not accepted"; "cause" => %e);
+        }
+    }
+
+    fn serve(self: &Rc<Self>, stream: TcpStream, max_connections: usize) {
+        if self.open.get() < max_connections {
+            actix_rt::spawn(Rc::clone(self).connection(stream));
+        } else {
+            self.router.metrics.refusal("connections");
+        }
+    }
+
+    /// Accepts the connections that wait in the listener's queue and closes it. The runtime may not
+    /// have noticed them yet, so that they are taken from the operating system directly.
+    fn accept_waiting(
+        self: &Rc<Self>,
+        listener: TcpListener,
+        max_connections: usize,
+    ) -> std::io::Result<()> {
+        let listener = listener.into_std()?;
+        loop {
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            };
+            stream.set_nonblocking(true)?;
+            self.serve(TcpStream::from_std(stream)?, max_connections);
+        }
     }
 
     async fn connection(self: Rc<Self>, stream: TcpStream) {
@@ -102,8 +131,11 @@
             .configuration()
             .map_or(DEFAULT_IDLE, |c| c.limits.idle_timeout);
         let router = Rc::clone(&self.router);
+        let has_request = Rc::new(Cell::new(false));
+        let noted = Rc::clone(&has_request);
         let service = service_fn(move |req| {
             let router = Rc::clone(&router);
+            noted.set(true);
             async move { Ok::<_, Infallible>(proxy::serve(router, req).await) }
         });
         // hyper's timeout for reading a head also runs while a connection is idle, so it is set to
@@ -120,6 +152,13 @@
             _ = connection.as_mut() => return,
             _ = closing.wait_for(|c| *c) => {}
         }
+        if !has_request.get() {
+            // hyper closes a connection without a request at once, even if one is on its way.
+            let first = tokio::time::timeout(FIRST_REQUEST_TIME, connection.as_mut());
+            if first.await.is_ok() {
+                return;
+            }
+        }
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
--- a/crates/coriandercove_router/tests/proxy.rs
+++ b/crates/coriandercove_router/tests/proxy.rs
@@ -297,6 +297,38 @@
     assert_that!(entry.server.open_connections(), eq(0));
 }
 
+/// Guards against cutting off requests whose connections were established just before a planned stop
+/// and had not been accepted yet.
+#[actix_rt::test]
+async fn connections_established_before_closing_are_answered() {
+    let (address, _) = target(|_, _, mut stream| async move {
+        write(&mut stream, &whole("ok")).await;
+    })
+    .await;
+    let entry = Entry::start(&[address]).await;
+    // The blocking calls keep the entry from accepting any of them before it closes.
+    let waiting: Vec<std::net::TcpStream> = (0..12)
+        .map(|_| {
+            use std::io::Write as _;
+            let mut stream = std::net::TcpStream::connect(entry.address).unwrap();
+            let head =
+                "POST /safe/x HTTP/1.1\r\nhost: shop\r\ncontent-length: 0\r\nlabel: r\r\n\r\n";
+            stream.write_all(head.as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    entry.server.close_gracefully();
+    for stream in waiting {
+        stream.set_nonblocking(true).unwrap();
+        let mut stream = tokio::net::TcpStream::from_std(stream).unwrap();
+        assert_that!(read_all(&mut stream).await, ends_with("ok"));
+    }
+    assert_that!(
+        std::net::TcpStream::connect(entry.address).is_err(),
+        eq(true)
+    );
+}
+
 /// Guards against reporting an unknown route as a refusal that may be retried.
 #[actix_rt::test]
 async fn unknown_routes_get_404() {
