--- a/crates/coriandercove_router/src/fair_share.rs
+++ b/crates/coriandercove_router/src/fair_share.rs
@@ -43,8 +43,8 @@
     pub own_requests: f64,
 }
 
-/// Ranks a new request of `account`. `uses` are the requests of all entries by account, and `draw` is a
-/// random number between 0 and 1.
+/// Ranks a new request of `account`. `uses` are the requests of all entries by account, and `draw` is
+/// a random number between 0 and 1.
 #[must_use]
 pub fn rank(account: AccountKey, uses: &[AccountUse], unseen: Unseen, draw: f64) -> Rank {
     let found = uses.iter().find(|u| u.account == account);
