Keep a stopping process until its waiting connections are accepted

Cause: found by reading the change again. A stop looked at the open connections before the task that accepts the waiting ones had run, so that a process without other connections exited and cut them off. A refusal as fair_share did not tell whose request it was. Ruled out: the existing test, which keeps the process alive whatever the stop sees. Change: the server is drained only when nothing is accepted any more, from the moment at which accepting is requested. The line 'account has its share' names the account. Two comments are reworded. Measurement: connections_established_before_closing_are_answered checks the state right after closing as well; it failed before (drained at once) and passes.

--- a/crates/coriandercove_router/src/lib.rs
+++ b/crates/coriandercove_router/src/lib.rs
@@ -8,9 +8,10 @@
 //! layer once. A chain is a set of engines that holds every layer once.
 //!
 //! Decisions are pure functions or plain state: [`path`] chooses the targets that a model request
-//! passes through, [`fair_share`] ranks requests that are placed at the same time, [`layout`] divides the model's layers among the targets, [`refusal`]
-//! estimates when a refused caller should retry, [`attempt`] decides what follows a failed attempt,
-//! [`budget`] limits repeats, and [`exclusions`] and [`liveness`] track failing and silent targets.
+//! passes through, [`fair_share`] ranks requests that are placed at the same time and limits
+//! accounts, [`layout`] divides the model's layers among the targets, [`refusal`] estimates when a
+//! refused caller should retry, [`attempt`] decides what follows a failed attempt, [`budget`] limits
+//! repeats, and [`exclusions`] and [`liveness`] track failing and silent targets.
 //! Time, randomness and observations are passed in.
 //!
 //! The runtime around them serves callers ([`server`], [`proxy`]), sends attempts ([`upstream`]),
--- a/crates/coriandercove_router/src/process.rs
+++ b/crates/coriandercove_router/src/process.rs
@@ -169,7 +169,7 @@
         "requests" => router.metrics.in_flight.get());
     tokio::time::sleep(READINESS_NOTICE.min(grace / 2)).await;
     server.close_gracefully();
-    while server.open_connections() > 0 && router.now().saturating_sub(began) < grace {
+    while !server.is_drained() && router.now().saturating_sub(began) < grace {
         tokio::time::sleep(STOP_POLL).await;
     }
     if server.open_connections() > 0 {
--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -367,7 +367,11 @@
         match self.router.rank(self.account_key(), engine) {
             Some(rank) => Ok(rank),
             None if self.attempts.sent > 0 => Ok(Rank::default()),
-            None => Err(FailedAttempt::not_sent(Refusal::FairShare)),
+            None => {
+                warn!(self.router.log, "account has its share"; "req" => &*self.head.label,
+                    "account" => self.account.as_deref());
+                Err(FailedAttempt::not_sent(Refusal::FairShare))
+            }
         }
     }
 
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -134,8 +134,8 @@
     event_silence_limit: Duration,
     /// Time at which bytes last arrived, the attempt began or the path was changed.
     last_bytes: Time,
-    /// Time of the last event that brought the answer forward, at the latest the start of the attempt
-    /// or the last check for a stall.
+    /// Time of the last event that brought the answer forward, of the start of the attempt or of the
+    /// last stall, whichever is latest.
     last_progress: Time,
     /// Time without progress after which the stream counts as stalled.
     stall_limit: Duration,
--- a/crates/coriandercove_router/src/server.rs
+++ b/crates/coriandercove_router/src/server.rs
@@ -37,6 +37,8 @@
 pub struct Server {
     router: Rc<Router>,
     open: Rc<Cell<usize>>,
+    /// Whether [`Self::accept`] runs; it accepts waiting connections after closing has begun.
+    is_accepting: Cell<bool>,
     /// Set to true to close each connection after its current request.
     closing: watch::Sender<bool>,
 }
@@ -49,6 +51,7 @@
         Rc::new(Self {
             router,
             open: Rc::default(),
+            is_accepting: Cell::new(false),
             closing,
         })
     }
@@ -59,6 +62,12 @@
         self.open.get()
     }
 
+    /// Whether no caller is connected and no connection is accepted any more.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        !self.is_accepting.get() && self.open.get() == 0
+    }
+
     /// Stops accepting connections and closes each open one after its current request.
     pub fn close_gracefully(&self) {
         self.closing.send_replace(true);
@@ -67,7 +76,13 @@
     /// Accepts connections of callers until [`Self::close_gracefully`] is called, and then those
     /// that are established already; their callers may have sent a request. Connections beyond the
     /// limit that the file descriptors allow are closed at once and counted as refused.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    pub fn accept(self: Rc<Self>, listener: TcpListener) -> impl Future<Output = ()> {
+        // The server is not drained before the future has run, even if closing begins earlier.
+        self.is_accepting.set(true);
+        self.accept_until_closed(listener)
+    }
+
+    async fn accept_until_closed(self: Rc<Self>, listener: TcpListener) {
         let max_connections = self
             .router
             .settings
@@ -91,6 +106,7 @@
         if let Err(e) = self.accept_waiting(listener, max_connections) {
             warn!(self.router.log, "waiting connections not accepted"; "cause" => %e);
         }
+        self.is_accepting.set(false);
     }
 
     fn serve(self: &Rc<Self>, stream: TcpStream, max_connections: usize) {
--- a/crates/coriandercove_router/tests/proxy.rs
+++ b/crates/coriandercove_router/tests/proxy.rs
@@ -318,6 +318,8 @@
         })
         .collect();
     entry.server.close_gracefully();
+    // A process that stops must not exit now, although no connection has been accepted yet.
+    assert_that!(entry.server.is_drained(), eq(false));
     for stream in waiting {
         stream.set_nonblocking(true).unwrap();
         let mut stream = tokio::net::TcpStream::from_std(stream).unwrap();
@@ -327,6 +329,8 @@
         std::net::TcpStream::connect(entry.address).is_err(),
         eq(true)
     );
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_that!(entry.server.is_drained(), eq(true));
 }
 
 /// Guards against reporting an unknown route as a refusal that may be retried.
