Log the parts of a prompt that requests share

Cause: the lines of the incident with crashing engines tell the path of a request, but not what its prompt holds nor how soon after its start a target ended, so that a part that crashes engines cannot be told from overload by moved streams. Change: the shared parts are read from the head; 'sent' and 'stream broke' have them, and 'stream broke' has the time since the attempt was sent. No decision uses them yet.

--- a/crates/coriandercove_router/src/protocol.rs
+++ b/crates/coriandercove_router/src/protocol.rs
@@ -22,6 +22,10 @@
 /// Identifier of a request as its caller sent it; empty if the caller sent none.
 pub type RequestLabel = Arc<str>;
 
+/// Identifier of a part of a prompt. Requests that begin with the same text share their first
+/// parts.
+pub type PromptPart = u64;
+
 /// Size of a model request, as its head states it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ModelSize {
@@ -46,6 +50,9 @@
     pub resume_after: Option<u64>,
     /// Size of a model request; none for other requests.
     pub size: Option<ModelSize>,
+    /// Parts of the prompt that other requests may share, in order; the last part of a prompt is
+    /// the request's own and is left out.
+    pub shared_parts: Vec<PromptPart>,
 }
 
 /// What a target is sent with an attempt in addition to the caller's own headers.
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -24,6 +24,7 @@
 use crate::sse::Cursor;
 use crate::state::Router;
 
+pub(crate) use accounting::PartsText;
 use accounting::RequestGuard;
 use proxied_request::{FailedAttempt, FinishedAttempt};
 pub(crate) use proxied_request::{LostHop, ProxiedRequest, StartedAttempt};
--- a/crates/coriandercove_router/src/proxy/accounting.rs
+++ b/crates/coriandercove_router/src/proxy/accounting.rs
@@ -8,7 +8,7 @@
 use coriandercove_base::Time;
 
 use crate::path::Hop;
-use crate::protocol::RequestLabel;
+use crate::protocol::{PromptPart, RequestLabel};
 use crate::state::Router;
 
 /// Formats a path for the log as `address=layers`, separated by commas.
@@ -31,6 +31,21 @@
     }
 }
 
+/// Formats parts of a prompt for the log in hexadecimal, as callers send them.
+pub(crate) struct PartsText<'a>(pub(crate) &'a [PromptPart]);
+
+impl slog::Value for PartsText<'_> {
+    fn serialize(
+        &self,
+        _: &slog::Record<'_>,
+        key: slog::Key,
+        serializer: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        let parts: Vec<String> = self.0.iter().map(|p| format!("{p:x}")).collect();
+        serializer.emit_str(key, &parts.join(","))
+    }
+}
+
 /// Counts a request as in flight until it is dropped. If it is dropped before [`Self::complete`] is
 /// called, the caller disconnected, which is counted and logged.
 pub(crate) struct RequestGuard {
--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -14,7 +14,7 @@
 use coriandercove_base::{AccountId, ConfigVersion, TargetId, Time};
 
 use super::RefusalAnswer;
-use super::accounting::{PathText, RequestGuard};
+use super::accounting::{PartsText, PathText, RequestGuard};
 use crate::attempt::{Attempts, Failure, Next, Outcome};
 use crate::fair_share::Rank;
 use crate::path::{Bottleneck, Demand, Hop, NoPath};
@@ -67,6 +67,8 @@
     pub(crate) in_flight: InFlight,
     pub(crate) address: SocketAddr,
     hops: Vec<Hop>,
+    /// Time at which the request was sent to the target.
+    pub(crate) sent_at: Time,
 }
 
 /// An attempt that failed before the head of its answer arrived.
@@ -212,18 +214,19 @@
             "account" => self.account.as_deref(), "target" => &*target, "first" => %address,
             "path" => PathText(&hops), "expected_ms" => expected.as_millis(),
             "left_ms" => time_left.as_millis(), "config" => self.version,
-            "attempt" => self.attempts.sent + 1);
+            "attempt" => self.attempts.sent + 1, "parts" => PartsText(&self.head.shared_parts));
         let router = Rc::clone(&self.router);
         router
             .liveness
             .borrow_mut()
             .begin_connect(address, self.now());
+        let sent_at = self.now();
         let exchange = send(address, request, || {
             router.liveness.borrow_mut().end_probe(address, true);
         });
         let sent = tokio::time::timeout(time_left, exchange).await;
         match sent {
-            Ok(Ok(exchange)) => self.classify_answer(exchange, in_flight, address, hops),
+            Ok(Ok(exchange)) => self.classify_answer(exchange, in_flight, address, hops, sent_at),
             Ok(Err(e)) => Err(self.exchange_failed(&e, address, &hops)),
             Err(_) => Err(FailedAttempt {
                 failure: Failure::Unknown,
@@ -263,6 +266,7 @@
         in_flight: InFlight,
         address: SocketAddr,
         hops: Vec<Hop>,
+        sent_at: Time,
     ) -> Result<StartedAttempt, FailedAttempt> {
         let head = &exchange.head;
         let facts = self
@@ -295,6 +299,7 @@
             in_flight,
             address,
             hops,
+            sent_at,
         })
     }
 
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -17,7 +17,7 @@
 
 use crate::attempt::{Failure, Next};
 use crate::liveness::PROBE_LATE_AFTER;
-use crate::proxy::{LostHop, ProxiedRequest, StartedAttempt};
+use crate::proxy::{LostHop, PartsText, ProxiedRequest, StartedAttempt};
 use crate::routes::Route;
 use crate::sse::{Splitter, Verdict};
 
@@ -420,9 +420,16 @@
 
     async fn resume_elsewhere(&mut self, cause: &'static str) -> Result<(), BodyError> {
         self.splitter.clear();
+        let now = self.request.router.now();
+        let since_sent = self
+            .current
+            .as_ref()
+            .map(|c| now.saturating_sub(c.sent_at).as_millis());
         warn!(self.request.router.log, "stream broke"; "req" => &*self.request.head.label,
             "cause" => cause, "after" => self.request.cursor.last(),
-            "first" => self.current.as_ref().map(|c| c.address.to_string()));
+            "ms_since_sent" => since_sent,
+            "first" => self.current.as_ref().map(|c| c.address.to_string()),
+            "parts" => PartsText(&self.request.head.shared_parts));
         let mut failure = match self.current.take() {
             Some(lost) => {
                 self.request.probe(&lost, self.last_bytes);
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -31,7 +31,7 @@
 use coriandercove_router::settings::Settings;
 use coriandercove_router::state::Router;
 
-/// Encoder and decoder with plain headers for tests.
+/// Encoder and decoder with plain headers for tests; `parts` lists the shared parts of a prompt.
 pub struct TestProtocol;
 
 const LABEL: &str = "label";
@@ -53,6 +53,9 @@
             deadline: number("deadline").map(Duration::from_millis),
             resume_after: number("after"),
             size: None,
+            shared_parts: text(headers, "parts").map_or_else(Vec::new, |parts| {
+                parts.split(',').map(|p| p.parse().unwrap()).collect()
+            }),
         }
     }
 
