Show that one part of a prompt can end every target

Cause: no entry relates the targets that end to what the prompts hold. Each request is sent on to up to three more targets, which end as well, and the next request with the part meets those that came back. A second test keeps the opposite fault away (many targets lost at once convict no part) and passes.

--- /dev/null
+++ b/crates/coriandercove_router/tests/crashing_prompt.rs
@@ -0,0 +1,161 @@
+//! A part of a prompt that crashes every target which begins to answer it, sent to several entries
+//! while sound requests share its other part.
+
+#![allow(
+    clippy::unwrap_used,
+    reason = "a test fails at the first unexpected value"
+)]
+
+mod support;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use rand::Rng as _;
+
+use coriandercove_base::rng;
+use support::cluster::{Cluster, Member};
+use support::{read_all, read_until};
+
+/// Part that crashes targets.
+const CRASHING: u64 = 666;
+/// First part of the crashing prompts, which sound prompts have as well.
+const SHARED: u64 = 7;
+/// Bound on the time from the fifth crash until no entry sends such a request any more.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Requests with the part that may reach targets after [`CONTACT`].
+const MAX_LATE: usize = 3;
+
+/// An answered request.
+struct Answered {
+    label: String,
+    sent: Instant,
+    is_crashing: bool,
+    status: u16,
+    has_begun: bool,
+}
+
+type Answers = Rc<RefCell<Vec<Answered>>>;
+
+/// Sends a request with these shared parts and records its answer.
+fn request(member: &Rc<Member>, label: String, parts: Vec<u64>, answers: &Answers) {
+    let (member, answers) = (Rc::clone(member), Rc::clone(answers));
+    actix_rt::spawn(async move {
+        let sent = Instant::now();
+        let is_crashing = parts.contains(&CRASHING);
+        let text: Vec<String> = parts.iter().map(u64::to_string).collect();
+        let headers = format!(
+            "label: {label}\r\nparts: {}\r\nconnection: close\r\n",
+            text.join(",")
+        );
+        let mut caller = member.entry.request("/resumable/x", &headers).await;
+        let answer = read_all(&mut caller).await;
+        let status = answer.split(' ').nth(1).and_then(|s| s.parse().ok());
+        answers.borrow_mut().push(Answered {
+            label,
+            sent,
+            is_crashing,
+            status: status.unwrap_or(0),
+            has_begun: answer.contains("id: 1\n"),
+        });
+    });
+}
+
+/// Sends requests to random entries for a while, a twelfth of them with the crashing part.
+async fn load(members: &[Rc<Member>], seed: u64, time: Duration, answers: &Answers) {
+    const INTERVAL: Duration = Duration::from_millis(25);
+    let mut rng = rng::seeded(seed);
+    let began = Instant::now();
+    let mut number = 0;
+    while began.elapsed() < time {
+        let member = &members[rng.random_range(0..members.len())];
+        let parts = match number % 12 {
+            0 => vec![SHARED, CRASHING],
+            1..=3 => vec![SHARED],
+            _ => vec![rng.random_range(100..130)],
+        };
+        request(member, format!("{seed}-{number}"), parts, answers);
+        number += 1;
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Guards against entries that send requests on to one target after the other although a part of
+/// the prompt has crashed every target before, and against refusing the sound requests that share
+/// the rest of the prompt.
+#[actix_rt::test]
+async fn a_part_that_crashes_targets_is_not_sent_on_by_any_entry() {
+    let cluster = Cluster::start(8, CRASHING).await;
+    let mut members = Vec::new();
+    for n in 0..3 {
+        members.push(cluster.join(n).await);
+    }
+    let answers = Answers::default();
+    load(&members, 1, Duration::from_secs(7), &answers).await;
+    // An entry that joins later has to follow the same decision.
+    members.push(cluster.join(3).await);
+    let joined = Instant::now();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    load(&members, 2, Duration::from_secs(4), &answers).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    let crashes = cluster.events.crashes.borrow().clone();
+    assert_that!(crashes.len(), ge(3), "the load does not crash targets");
+    let decided = *crashes.get(4).or(crashes.last()).unwrap() + CONTACT;
+    let arrivals = cluster.events.arrivals.borrow().clone();
+    let late = arrivals
+        .iter()
+        .filter(|a| a.is_crashing && a.at > decided)
+        .count();
+    assert_that!(late, le(MAX_LATE), "{} targets ended", crashes.len());
+
+    let answers = answers.borrow();
+    for refused in answers.iter().filter(|a| a.status == 503) {
+        let has_run = arrivals.iter().any(|a| a.label == refused.label);
+        assert_that!(
+            has_run,
+            eq(false),
+            "{} is refused as not run",
+            refused.label
+        );
+    }
+    let settled = decided + CONTACT;
+    assert_that!(joined, lt(settled + Duration::from_secs(10)));
+    let sound: Vec<&Answered> = answers
+        .iter()
+        .filter(|a| !a.is_crashing && a.sent > settled)
+        .collect();
+    let begun = sound.iter().filter(|a| a.has_begun).count();
+    assert_that!(sound.len(), ge(20));
+    assert_that!(begun * 2, ge(sound.len()), "sound requests that begin");
+}
+
+/// Guards against judging by the targets that end: a lost rack ends many targets at once, and with
+/// them the requests of every part.
+#[actix_rt::test]
+async fn sound_requests_are_served_after_many_targets_ended_together() {
+    let cluster = Cluster::start(8, CRASHING).await;
+    let members = [cluster.join(0).await, cluster.join(1).await];
+    let answers = Answers::default();
+    // Six requests begin at six targets at the same moment, each with the part that ends them.
+    for n in 0..6 {
+        request(
+            &members[n % 2],
+            format!("c{n}"),
+            vec![SHARED, CRASHING],
+            &answers,
+        );
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let mut caller = members[0]
+        .entry
+        .request(
+            "/resumable/x",
+            "label: s\r\nparts: 7\r\nconnection: close\r\n",
+        )
+        .await;
+    let answer = read_until(&mut caller, "id: 1\n").await;
+    assert_that!(answer, starts_with("HTTP/1.1 200"));
+}
--- /dev/null
+++ b/crates/coriandercove_router/tests/support/cluster.rs
@@ -0,0 +1,225 @@
+//! Several entries that exchange datagrams, and targets that crash on a part of a prompt and come
+//! back as new incarnations.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_rt::task::JoinHandle;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+
+use coriandercove_base::timer::{Subscription, TimerService};
+use coriandercove_router::fleet::Target;
+use coriandercove_router::peers::Peers;
+use coriandercove_router::settings::Settings;
+
+use super::{Entry, read_until, settings, write};
+
+/// Time from a crash of a target until it accepts requests again.
+const DOWN_TIME: Duration = Duration::from_millis(800);
+/// Time from the head of an answer to the crash that its request causes.
+const CRASH_DELAY: Duration = Duration::from_millis(40);
+/// Events of a sound answer, and the time between two of them.
+const EVENTS: u32 = 12;
+const EVENT_GAP: Duration = Duration::from_millis(50);
+
+/// A request that reached a target.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub at: Instant,
+    pub label: String,
+    pub is_crashing: bool,
+}
+
+/// What happened at the targets of a cluster.
+#[derive(Default)]
+pub struct Events {
+    pub arrivals: RefCell<Vec<Arrival>>,
+    pub crashes: RefCell<Vec<Instant>>,
+}
+
+/// A target that streams an answer, and crashes if the prompt holds the part `crashing_part`.
+struct CrashingTarget {
+    address: SocketAddr,
+    incarnation: Cell<u64>,
+    crashing_part: u64,
+    connections: RefCell<Vec<JoinHandle<()>>>,
+    crash: tokio::sync::Notify,
+    events: Rc<Events>,
+}
+
+fn header<'a>(head: &'a str, name: &str) -> &'a str {
+    let line = head.lines().find_map(|l| l.strip_prefix(name));
+    line.map_or("", |v| v.trim_start_matches(':').trim())
+}
+
+impl CrashingTarget {
+    async fn run(self: Rc<Self>, mut listener: TcpListener, cluster: Rc<Members>) {
+        loop {
+            let crash = self.crash.notified();
+            tokio::select! {
+                () = Rc::clone(&self).accept(&listener) => {}
+                () = crash => {}
+            }
+            drop(listener);
+            for connection in self.connections.take() {
+                connection.abort();
+            }
+            self.events.crashes.borrow_mut().push(Instant::now());
+            tokio::time::sleep(DOWN_TIME).await;
+            listener = TcpListener::bind(self.address).await.unwrap();
+            self.incarnation.set(self.incarnation.get() + 1);
+            cluster.list(self.address, self.incarnation.get());
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: &TcpListener) {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            let task = actix_rt::spawn(Rc::clone(&self).answer(stream));
+            self.connections.borrow_mut().push(task);
+        }
+    }
+
+    async fn answer(self: Rc<Self>, mut stream: TcpStream) {
+        let head = read_until(&mut stream, "\r\n\r\n").await;
+        if head.contains("/report") {
+            write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await;
+            return;
+        }
+        let label = header(&head, "label").to_owned();
+        let mut parts = header(&head, "parts").split(',');
+        let crashing = self.crashing_part.to_string();
+        let is_crashing = parts.any(|p| p == crashing);
+        let arrival = Arrival {
+            at: Instant::now(),
+            label: label.clone(),
+            is_crashing,
+        };
+        self.events.arrivals.borrow_mut().push(arrival);
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nstamp: 1\r\nlabel: {label}\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        write(&mut stream, &answer).await;
+        tokio::time::sleep(CRASH_DELAY).await;
+        if is_crashing {
+            self.crash.notify_waiters();
+            return;
+        }
+        let after: u32 = header(&head, "after").parse().unwrap_or(0);
+        for id in after + 1..=EVENTS {
+            let event = format!("id: {id}\ndata: d\n\n");
+            write(&mut stream, &format!("{:x}\r\n{event}\r\n", event.len())).await;
+            tokio::time::sleep(EVENT_GAP).await;
+        }
+        write(&mut stream, "0\r\n\r\n").await;
+    }
+}
+
+/// Entries of a cluster, which learn of new incarnations of targets as from the platform's list.
+#[derive(Default)]
+struct Members {
+    entries: RefCell<Vec<Rc<Member>>>,
+    targets: RefCell<Vec<(SocketAddr, u64)>>,
+}
+
+impl Members {
+    fn list(&self, address: SocketAddr, incarnation: u64) {
+        self.targets.borrow_mut().retain(|(a, _)| *a != address);
+        self.targets.borrow_mut().push((address, incarnation));
+        for member in self.entries.borrow().iter() {
+            member.list(address, incarnation);
+        }
+    }
+}
+
+/// One entry with its exchange of datagrams.
+pub struct Member {
+    pub entry: Entry,
+    _sending: Subscription,
+    _timers: TimerService,
+}
+
+impl Member {
+    fn list(&self, address: SocketAddr, incarnation: u64) {
+        let router = &self.entry.router;
+        router.fleet.borrow_mut().insert(Arc::new(Target {
+            id: format!("t{}", address.port()).into(),
+            service: "service".into(),
+            address,
+            zone: "a".into(),
+            slots: 100,
+            is_draining: false,
+            started_ms: incarnation,
+            warm_up: Duration::ZERO,
+            accelerator: "".into(),
+            layers: None,
+        }));
+    }
+}
+
+/// Entries that know each other, and targets that crash on one part.
+pub struct Cluster {
+    members: Rc<Members>,
+    pub events: Rc<Events>,
+    port: u16,
+}
+
+impl Cluster {
+    /// Starts targets that crash on `crashing_part`, without entries.
+    pub async fn start(targets: usize, crashing_part: u64) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let cluster = Self {
+            members: Rc::default(),
+            events: Rc::default(),
+            port: socket.local_addr().unwrap().port(),
+        };
+        for _ in 0..targets {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let target = Rc::new(CrashingTarget {
+                address: listener.local_addr().unwrap(),
+                incarnation: Cell::new(1),
+                crashing_part,
+                connections: RefCell::default(),
+                crash: tokio::sync::Notify::new(),
+                events: Rc::clone(&cluster.events),
+            });
+            cluster.members.list(target.address, 1);
+            actix_rt::spawn(target.run(listener, Rc::clone(&cluster.members)));
+        }
+        cluster
+    }
+
+    /// Settings of the entry `n` of the cluster, counted from 0.
+    pub fn settings(&self, n: u8) -> Settings {
+        // Seeds are known by their addresses; all entries use the same port.
+        let address = |n: u8| SocketAddr::from(([127, 0, 1, n + 1], self.port));
+        Settings {
+            node: format!("entry-{n}").into(),
+            peers: address(n),
+            seeds: (0..2).map(address).collect(),
+            ..settings()
+        }
+    }
+
+    /// Starts the entry `n` and returns it. It knows the first two entries as its seeds.
+    pub async fn join(&self, n: u8) -> Rc<Member> {
+        let settings = self.settings(n);
+        let socket = UdpSocket::bind(settings.peers).await.unwrap();
+        let entry = Entry::start_with(settings, &[]).await;
+        let timers = TimerService::start();
+        let (_, sending) = Peers::start(Rc::clone(&entry.router), socket, &timers);
+        let member = Rc::new(Member {
+            entry,
+            _sending: sending,
+            _timers: timers,
+        });
+        for (address, incarnation) in self.members.targets.borrow().iter() {
+            member.list(*address, *incarnation);
+        }
+        self.members.entries.borrow_mut().push(Rc::clone(&member));
+        member
+    }
+}
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -6,6 +6,8 @@
     reason = "a test fails at the first unexpected value"
 )]
 
+pub mod cluster;
+
 use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -61,7 +63,7 @@
 
     fn target_headers(&self, caller: &HeaderMap, dispatch: &Dispatch<'_>) -> HeaderMap {
         let mut out = HeaderMap::new();
-        for name in [LABEL, "host"] {
+        for name in [LABEL, "host", "parts"] {
             if let Some(value) = caller.get(name) {
                 out.insert(HeaderName::from_static(name), value.clone());
             }
@@ -108,7 +110,8 @@
     }
 }
 
-fn settings() -> Settings {
+/// Settings of an entry without peers.
+pub fn settings() -> Settings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     Settings {
         node: "entry".into(),
@@ -158,8 +161,13 @@
     /// Starts an entry with the routes `/safe/`, `/once/`, `/stream/` and `/resumable/` to these
     /// targets.
     pub async fn start(targets: &[SocketAddr]) -> Self {
+        Self::start_with(settings(), targets).await
+    }
+
+    /// As [`Self::start`], with other settings.
+    pub async fn start_with(settings: Settings, targets: &[SocketAddr]) -> Self {
         let router = Router::new(
-            settings(),
+            settings,
             Rc::new(TestProtocol),
             telemetry::discard(),
             rng::seeded(1),
