Quarantine a part of prompts that crashes targets

What callers saw: streams broke and model requests were refused for minutes, because requests with one part in their prompts ended every engine that began to answer them. Cause: a failed attempt said something about its target only. No entry asked whether the targets that ended had something in common in what they were sent, each request was sent on to up to three more targets, and every entry began anew. Class: a request that kills whatever serves it, spread by retries. Change: an entry records which of its attempts had just begun when their target ended (the connection broke and the target cannot be reached), and how soon others with the same parts were answered. The entries exchange both by their datagrams; a part under which three targets ended one after the other, with two requests or more and no answer, is refused by all of them before anything is sent, and attempts in flight that have not begun are left. Verdicts are passed on by every entry, kept in the store for a restart of all, end after an hour, and are lifted by removing the object. Ruled out: overload by moved streams (the crashed engines had begun a request with the part 50 to 200 ms before, each time); counting crashes by account or route, which would refuse the sound requests of the same callers; counting crashes alone, which convicts whatever is popular when a rack is lost. Why it works: an attempt at a target that is lost with others was sent before the loss, so that such losses are no series; a sound part is answered elsewhere; of two parts that meet the same crashes, the rarer one explains them.

--- a/crates/coriandercove_router/src/lib.rs
+++ b/crates/coriandercove_router/src/lib.rs
@@ -11,7 +11,8 @@
 //! passes through, [`fair_share`] ranks requests that are placed at the same time and limits
 //! accounts, [`layout`] divides the model's layers among the targets, [`refusal`] estimates when a
 //! refused caller should retry, [`attempt`] decides what follows a failed attempt, [`budget`] limits
-//! repeats, and [`exclusions`] and [`liveness`] track failing and silent targets.
+//! repeats, [`exclusions`] and [`liveness`] track failing and silent targets, and [`quarantine`] keeps
+//! prompts from targets that crash on a part of them.
 //! Time, randomness and observations are passed in.
 //!
 //! The runtime around them serves callers ([`server`], [`proxy`]), sends attempts ([`upstream`]),
@@ -35,6 +36,7 @@
 pub mod process;
 pub mod protocol;
 pub mod proxy;
+pub mod quarantine;
 pub mod refusal;
 pub mod relay;
 pub mod revision_tracker;
@@ -46,3 +48,4 @@
 pub mod sync;
 pub mod upstream;
 pub mod usage;
+pub mod verdict_sync;
--- a/crates/coriandercove_router/src/liveness.rs
+++ b/crates/coriandercove_router/src/liveness.rs
@@ -74,6 +74,24 @@
         true
     }
 
+    /// Records the start of a probe of a target that broke a connection, unless a probe is pending or
+    /// one has just failed. An earlier connection attempt does not show whether the target has ended
+    /// since. Returns whether the caller should send the probe.
+    pub fn begin_recheck(&mut self, target: SocketAddr, now: Time) -> bool {
+        let is_known = self.probes.get(&target).is_some_and(|p| {
+            let age = now.saturating_sub(p.began);
+            match p.state {
+                ProbeState::Pending => age < PROBE_EXPIRY,
+                ProbeState::Failed => age < MIN_PROBE_INTERVAL,
+                ProbeState::Alive => false,
+            }
+        });
+        if !is_known {
+            self.begin(target, now);
+        }
+        !is_known
+    }
+
     /// Records the start of a connection attempt, which shows as much as a probe, unless one is
     /// pending.
     pub fn begin_connect(&mut self, target: SocketAddr, now: Time) {
--- a/crates/coriandercove_router/src/metrics.rs
+++ b/crates/coriandercove_router/src/metrics.rs
@@ -30,6 +30,10 @@
     unreadable: CounterFamily,
     /// Placement orders and path changes, by outcome.
     orders: CounterFamily,
+    /// Changed verdicts on parts of prompts, by change and source together.
+    verdicts: CounterFamily,
+    /// Parts of prompts in quarantine.
+    pub quarantined: Gauge,
     /// Requests whose caller disconnected before the answer was complete.
     pub cancelled: Counter,
     /// Log lines omitted because of the rate limit.
@@ -68,6 +72,8 @@
             platform_errors: m.counters("platform_errors", "Failed calls to the platform by topic"),
             unreadable: m.counters("unreadable_objects", "Objects that cannot be read by topic"),
             orders: m.counters("orders", "Orders to engines by outcome"),
+            verdicts: m.counters("part_verdicts", "Verdicts on parts of prompts by change"),
+            quarantined: m.gauge("quarantined_parts", "Parts of prompts in quarantine"),
             cancelled: m.counter("cancelled", "Requests whose caller left"),
             omitted_lines: m.counter("omitted_log_lines", "Log lines left out"),
             version: m.gauge("configuration_version", "Version in force"),
@@ -145,6 +151,12 @@
         count(&self.orders, "outcome", outcome);
     }
 
+    /// Counts a changed verdict on a part of prompts.
+    pub fn verdict(&self, change: &str, source: &str) {
+        let label = format!("{change}_by_{source}");
+        count(&self.verdicts, "change", &label);
+    }
+
     /// Records the time from a stream's arrival to its first event.
     pub fn first_event(&self, took: Duration) {
         self.first_event.observe(took.as_secs_f64());
--- a/crates/coriandercove_router/src/peers.rs
+++ b/crates/coriandercove_router/src/peers.rs
@@ -13,6 +13,7 @@
 
 use crate::load::{DIGEST_LIFETIME, Digest};
 use crate::placer::Placement;
+use crate::quarantine::QuarantineReport;
 use crate::revision_tracker::Revisions;
 use crate::state::Router;
 use crate::usage::UsageReport;
@@ -51,22 +52,37 @@
     }
 }
 
-/// Encodes a datagram. The report of usage follows it, so that entries of a version without reports
-/// can read it as well; they ignore what follows.
-fn encode(datagram: &Datagram, usage: &UsageReport) -> postcard::Result<Vec<u8>> {
+/// What follows a datagram, in this order. Each report came with a later version; entries of earlier
+/// ones ignore what they do not know.
+#[derive(Debug, Clone, Default, PartialEq)]
+struct Reports {
+    usage: UsageReport,
+    quarantine: QuarantineReport,
+}
+
+/// Encodes a datagram and the reports that follow it.
+fn encode(datagram: &Datagram, reports: &Reports) -> postcard::Result<Vec<u8>> {
     let bytes = postcard::to_allocvec(datagram)?;
-    postcard::to_extend(usage, bytes)
+    let bytes = postcard::to_extend(&reports.usage, bytes)?;
+    postcard::to_extend(&reports.quarantine, bytes)
+}
+
+/// Decodes a report that a datagram of an earlier version lacks, and returns what follows it.
+fn take_report<T: Default + serde::de::DeserializeOwned>(
+    bytes: &[u8],
+) -> postcard::Result<(T, &[u8])> {
+    if bytes.is_empty() {
+        return Ok((T::default(), bytes));
+    }
+    postcard::take_from_bytes(bytes)
 }
 
-/// Decodes a datagram; one of a version without reports has an empty one.
-fn decode(bytes: &[u8]) -> postcard::Result<(Datagram, UsageReport)> {
+/// Decodes a datagram and the reports that follow it.
+fn decode(bytes: &[u8]) -> postcard::Result<(Datagram, Reports)> {
     let (datagram, rest) = postcard::take_from_bytes(bytes)?;
-    let usage = if rest.is_empty() {
-        UsageReport::default()
-    } else {
-        postcard::from_bytes(rest)?
-    };
-    Ok((datagram, usage))
+    let (usage, rest) = take_report(rest)?;
+    let (quarantine, _) = take_report(rest)?;
+    Ok((datagram, Reports { usage, quarantine }))
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -138,17 +154,26 @@
         ready.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Whether this entry acts for all entries: it is ready, and no ready peer has a lower name.
+    #[must_use]
+    pub fn is_leader(&self) -> bool {
+        let own = &self.router.settings.node;
+        let first = self.ready().into_iter().min();
+        self.router.is_ready() && first.is_none_or(|peer| *own < peer)
+    }
+
     fn send(&self) {
         let now = self.router.now();
         let peers = self.addresses.borrow().len();
         let periods = peers.div_ceil(FULL_RATE_PEERS).clamp(1, MAX_SEND_PERIODS) as u64;
         self.ticks.set(self.ticks.get() + 1);
-        if !self.ticks.get().is_multiple_of(periods) {
+        let is_urgent = self.router.is_news_urgent.take();
+        if !is_urgent && !self.ticks.get().is_multiple_of(periods) {
             return;
         }
         let digest = self.router.load.borrow().digest();
         let is_same = *self.last_digest.borrow() == digest;
-        if is_same && self.skipped.get() < MAX_IDLE_SKIPS {
+        if is_same && !is_urgent && self.skipped.get() < MAX_IDLE_SKIPS {
             self.skipped.set(self.skipped.get() + 1);
             return;
         }
@@ -172,8 +197,11 @@
             revisions: self.router.revisions.last_changes(),
             peers: to.clone(),
         };
-        let usage = self.router.usage.borrow().report(now);
-        let bytes = match encode(&datagram, &usage) {
+        let reports = Reports {
+            usage: self.router.usage.borrow().report(now),
+            quarantine: self.router.quarantine.borrow().report(now),
+        };
+        let bytes = match encode(&datagram, &reports) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => bytes,
             Ok(bytes) => {
                 warn!(self.router.log, "datagram too long"; "bytes" => bytes.len());
@@ -204,7 +232,7 @@
     }
 
     fn on_bytes(&self, bytes: &[u8], from: SocketAddr) {
-        let (datagram, usage) = match decode(bytes) {
+        let (datagram, reports) = match decode(bytes) {
             Ok(decoded) => decoded,
             Err(e) => {
                 warn!(self.router.log, "datagram not readable"; "from" => %from, "cause" => %e);
@@ -240,7 +268,9 @@
         self.router
             .usage
             .borrow_mut()
-            .on_report(datagram.node.clone(), usage, now);
+            .on_report(datagram.node.clone(), reports.usage, now);
+        self.router
+            .on_quarantine_report(&datagram.node, reports.quarantine);
         self.router
             .load
             .borrow_mut()
--- a/crates/coriandercove_router/src/peers/tests.rs
+++ b/crates/coriandercove_router/src/peers/tests.rs
@@ -6,6 +6,7 @@
 use googletest::prelude::*;
 
 use super::*;
+use crate::quarantine::AnswerReport;
 use crate::usage::AccountUse;
 
 fn datagram() -> Datagram {
@@ -26,18 +27,33 @@
 #[gtest]
 fn versions_with_and_without_reports_read_each_other() {
     let without = postcard::to_allocvec(&datagram()).unwrap();
-    let (read, usage) = decode(&without).unwrap();
+    let (read, reports) = decode(&without).unwrap();
     expect_that!(read, eq(&datagram()));
-    expect_that!(usage, eq(&UsageReport::default()));
-    let report = UsageReport {
+    expect_that!(reports, eq(&Reports::default()));
+    let usage = UsageReport {
         accounts: vec![AccountUse {
             account: 1,
             requests: 2,
             arrivals: 3,
         }],
     };
-    let with = encode(&datagram(), &report).unwrap();
-    expect_that!(decode(&with).unwrap().1, eq(&report));
+    let with_usage = postcard::to_extend(&usage, without).unwrap();
+    expect_that!(decode(&with_usage).unwrap().1.usage, eq(&usage));
+    let reports = Reports {
+        usage: usage.clone(),
+        quarantine: QuarantineReport {
+            answers: vec![AnswerReport { part: 7, age_ms: 1 }],
+            ..QuarantineReport::default()
+        },
+    };
+    let with = encode(&datagram(), &reports).unwrap();
+    expect_that!(decode(&with).unwrap().1, eq(&reports));
+    // An entry of a version without the second report ignores it.
+    let (_, rest) = postcard::take_from_bytes::<Datagram>(&with).unwrap();
+    expect_that!(
+        postcard::from_bytes::<UsageReport>(rest).unwrap(),
+        eq(&usage)
+    );
     // An entry of the earlier version ignores what follows the datagram.
     expect_that!(
         postcard::from_bytes::<Datagram>(&with).unwrap(),
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -87,14 +87,6 @@
         vec![place, report]
     }
 
-    /// Whether this entry gives the placement orders: it is ready, and no ready peer has a lower
-    /// name.
-    fn is_leader(&self) -> bool {
-        let own = &self.router.settings.node;
-        let first = self.peers.ready().into_iter().min();
-        self.router.is_ready() && first.is_none_or(|peer| *own < peer)
-    }
-
     /// Drops outdated records, and gives the placement orders that are due if this entry is the
     /// leader.
     fn place(self: &Rc<Self>) {
@@ -109,7 +101,7 @@
             .expire(&self.router.fleet.borrow(), now);
         let peers = self.router.load.borrow().peers();
         self.router.metrics.peers.set(peers.cast_signed() as i64);
-        if !self.is_leader() {
+        if !self.peers.is_leader() {
             return;
         }
         let Some(cfg) = self.router.configuration() else {
@@ -377,6 +369,14 @@
     !addresses.is_empty()
 }
 
+/// Probes a target that broke a connection, to see whether it has ended.
+pub(crate) fn probe_broken(router: &Rc<Router>, address: SocketAddr) {
+    let now = router.now();
+    if router.liveness.borrow_mut().begin_recheck(address, now) {
+        actix_rt::spawn(probe(Rc::clone(router), address));
+    }
+}
+
 async fn probe(router: Rc<Router>, address: SocketAddr) {
     let request = router.protocol.report_request();
     if call(address, request, PROBE_TIMEOUT).await.is_ok() {
--- a/crates/coriandercove_router/src/process.rs
+++ b/crates/coriandercove_router/src/process.rs
@@ -20,6 +20,7 @@
 use crate::settings::{Settings, SettingsError};
 use crate::state::Router;
 use crate::sync::follow;
+use crate::verdict_sync::{VerdictStore, VerdictSync};
 
 /// Time after SIGTERM in which the load balancer notices that this entry is not ready: two of its
 /// checks, and one more that may have been in progress.
@@ -78,6 +79,7 @@
     source: SettingsSource,
     protocol: Rc<dyn Protocol>,
     directory: Rc<dyn Directory>,
+    verdicts: Rc<dyn VerdictStore>,
     log: Logger,
     lines: LogWriter,
 ) -> Result<(), StartError> {
@@ -101,6 +103,7 @@
         actix_rt::spawn(follow(Rc::clone(&router), Rc::clone(&directory), topic));
     }
     let (peers, _sending) = Peers::start(Rc::clone(&router), socket, &timers);
+    let _judging = VerdictSync::start(Rc::clone(&router), Rc::clone(&peers), verdicts, &timers);
     let _placing = Placer::start(Rc::clone(&router), peers, &timers);
     let _omitted = {
         let (router, lines) = (Rc::clone(&router), lines.clone());
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -17,7 +17,7 @@
 use coriandercove_base::{AccountId, Time};
 
 use crate::attempt::{Attempts, Failure, Next};
-use crate::protocol::CallerHead;
+use crate::protocol::{CallerHead, PromptPart};
 use crate::refusal::{Refusal, retry_after};
 use crate::relay::{self, Body};
 use crate::routes::{Configuration, Route, Service, ServiceId};
@@ -95,6 +95,18 @@
             None => USUAL_CALL,
         };
         let wait = retry_after(reason, wait, &mut router.rng.borrow_mut());
+        Self::not_run_until(reason, wait)
+    }
+
+    /// A refusal of a prompt with a part in quarantine; it will be refused until the quarantine
+    /// ends.
+    fn quarantined(router: &Router, part: PromptPart) -> Self {
+        let now = router.now();
+        let left = router.quarantine.borrow().verdicts().remaining(part, now);
+        Self::not_run_until(Refusal::CrashingPart, left.unwrap_or_default())
+    }
+
+    fn not_run_until(reason: Refusal, wait: Duration) -> Self {
         Self {
             status: StatusCode::SERVICE_UNAVAILABLE,
             reason: reason.as_str(),
@@ -152,6 +164,13 @@
         .as_ref()
         .and_then(|(_, p)| *p)
         .unwrap_or(route.priority);
+    if !head.shared_parts.is_empty() {
+        let mut quarantine = router.quarantine.borrow_mut();
+        quarantine.on_request(&head.shared_parts, arrived);
+    }
+    if let Some(part) = router.convicted_part(&head.shared_parts) {
+        return Err(RefusalAnswer::quarantined(router, part));
+    }
     let limit = cfg.limits.body_bytes;
     let mut guard = RequestGuard::new(router, &head.label, arrived);
     let (parts, body) = req.into_parts();
@@ -282,7 +301,9 @@
                 | Refusal::NoTarget
                 | Refusal::Deadline
         );
-        let next = if is_refusal && failed.failure == Failure::NotSent {
+        let next = if failed.reason == Refusal::CrashingPart {
+            request.stop(failed.failure)
+        } else if is_refusal && failed.failure == Failure::NotSent {
             Next::Stop(request.attempts.outcome())
         } else {
             request.on_failure(failed.failure)
--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -36,6 +36,9 @@
 const REQUESTS_PER_SLOT: u32 = 3;
 /// Timeout for the first hop to accept a changed path.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after the first event from which on an answer counts as well under way: its target has not
+/// crashed on it.
+const UNDER_WAY_AFTER: Duration = Duration::from_millis(500);
 /// A request that is being served, over all its attempts.
 pub(crate) struct ProxiedRequest {
     pub(crate) router: Rc<Router>,
@@ -69,6 +72,18 @@
     hops: Vec<Hop>,
     /// Time at which the request was sent to the target.
     pub(crate) sent_at: Time,
+    progress: Progress,
+}
+
+/// How far the answer to an attempt has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// No event has arrived.
+    Waiting,
+    /// The first event arrived at this time.
+    Begun(Time),
+    /// Events have arrived for [`UNDER_WAY_AFTER`].
+    UnderWay,
 }
 
 /// An attempt that failed before the head of its answer arrived.
@@ -121,6 +136,29 @@
     pub(crate) fn hop_addresses(&self) -> impl Iterator<Item = SocketAddr> {
         self.hops.iter().map(|h| h.address)
     }
+
+    /// Whether the answer is well under way.
+    pub(crate) fn is_under_way(&self) -> bool {
+        self.progress == Progress::UnderWay
+    }
+
+    /// Whether an event has arrived.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.progress != Progress::Waiting
+    }
+
+    /// Records an event. Returns whether the answer has just come to be well under way.
+    pub(crate) fn on_event(&mut self, now: Time) -> bool {
+        match self.progress {
+            Progress::Waiting => self.progress = Progress::Begun(now),
+            Progress::Begun(at) if now.saturating_sub(at) >= UNDER_WAY_AFTER => {
+                self.progress = Progress::UnderWay;
+                return true;
+            }
+            Progress::Begun(_) | Progress::UnderWay => {}
+        }
+        false
+    }
 }
 
 impl ProxiedRequest {
@@ -148,6 +186,24 @@
             .on_failure(failure, now, deadline, || router.try_take_repeat())
     }
 
+    /// Records a failed attempt after which the request is not sent again, and returns what the caller
+    /// is told.
+    pub(super) fn stop(&mut self, failure: Failure) -> Next {
+        if failure != Failure::NotSent {
+            let (now, deadline) = (self.now(), self.deadline);
+            // Without a repeat allowed, the outcome is all that this decides.
+            let _ = self.attempts.on_failure(failure, now, deadline, || false);
+        }
+        Next::Stop(self.attempts.outcome())
+    }
+
+    /// Whether a part of the prompt is in quarantine.
+    pub(crate) fn is_quarantined(&self) -> bool {
+        self.router
+            .convicted_part(&self.head.shared_parts)
+            .is_some()
+    }
+
     /// Maximum expected time to the first event. Beyond the objective, admitted requests would make
     /// each other late, so that no answer of an overloaded fleet would be in time. A request that has been sent before is continued
     /// even if that takes longer than its objective.
@@ -179,6 +235,9 @@
 
     /// Makes an attempt and waits for the head of its answer.
     pub(crate) async fn start(&mut self) -> Result<StartedAttempt, FailedAttempt> {
+        if self.is_quarantined() {
+            return Err(FailedAttempt::not_sent(Refusal::CrashingPart));
+        }
         let Destination {
             target,
             address,
@@ -224,10 +283,21 @@
         let exchange = send(address, request, || {
             router.liveness.borrow_mut().end_probe(address, true);
         });
-        let sent = tokio::time::timeout(time_left, exchange).await;
+        let sent = tokio::time::timeout(time_left, exchange);
+        let sent = tokio::select! {
+            biased;
+            sent = sent => sent,
+            // Leaving the target before it begins the answer saves it.
+            () = router.wait_until_convicted(&self.head.shared_parts) => {
+                return Err(FailedAttempt {
+                    failure: Failure::Unknown,
+                    reason: Refusal::CrashingPart,
+                });
+            }
+        };
         match sent {
             Ok(Ok(exchange)) => self.classify_answer(exchange, in_flight, address, hops, sent_at),
-            Ok(Err(e)) => Err(self.exchange_failed(&e, address, &hops)),
+            Ok(Err(e)) => Err(self.exchange_failed(&e, address, &hops, sent_at)),
             Err(_) => Err(FailedAttempt {
                 failure: Failure::Unknown,
                 reason: Refusal::Deadline,
@@ -240,6 +310,7 @@
         e: &ExchangeError,
         address: SocketAddr,
         hops: &[Hop],
+        sent_at: Time,
     ) -> FailedAttempt {
         warn!(self.router.log, "attempt failed"; "req" => &*self.head.label,
             "first" => %address, "cause" => %e);
@@ -252,12 +323,22 @@
         } else if hops.is_empty() {
             self.router.record_failure(address, "connection");
         }
+        if failure == Failure::Unknown {
+            self.record_broken(address, sent_at);
+        }
         FailedAttempt {
             failure,
             reason: Refusal::NotRun,
         }
     }
 
+    /// Records an attempt that broke before its answer was well under way.
+    pub(crate) fn record_broken(&self, address: SocketAddr, sent_at: Time) {
+        let head = &self.head;
+        self.router
+            .record_broken_attempt(address, &head.label, &head.shared_parts, sent_at);
+    }
+
     /// Distinguishes an answer to this request from one to another request and from a statement
     /// that the request did not run.
     fn classify_answer(
@@ -300,6 +381,7 @@
             address,
             hops,
             sent_at,
+            progress: Progress::Waiting,
         })
     }
 
@@ -399,15 +481,20 @@
             return FinishedAttempt::Streaming(started);
         }
         let StartedAttempt {
-            exchange, address, ..
+            exchange,
+            address,
+            sent_at,
+            ..
         } = started;
         let left = self.deadline.saturating_sub(self.now());
         let body = tokio::time::timeout(left, read_body(exchange.body, MAX_WHOLE_ANSWER)).await;
         let Ok(Ok(body)) = body else {
             warn!(self.router.log, "answer cut short"; "req" => &*self.head.label,
                 "first" => %address);
+            self.record_broken(address, sent_at);
             return FinishedAttempt::Broken;
         };
+        self.router.record_answered_parts(&self.head.shared_parts);
         let mut response = Response::new(Body::whole(body));
         *response.status_mut() = status;
         *response.headers_mut() = self.router.protocol.caller_headers(&exchange.head.headers);
--- a/crates/coriandercove_router/src/refusal.rs
+++ b/crates/coriandercove_router/src/refusal.rs
@@ -23,6 +23,8 @@
     Slow,
     /// The deadline has passed.
     Deadline,
+    /// A part of the prompt crashes targets and is in quarantine.
+    CrashingPart,
     /// The targets did not run the request and no further attempt is made.
     NotRun,
 }
@@ -38,6 +40,7 @@
             Self::FairShare => "fair_share",
             Self::Slow => "slow",
             Self::Deadline => "deadline",
+            Self::CrashingPart => "crashing_part",
             Self::NotRun => "not_run",
         }
     }
@@ -137,6 +140,7 @@
         Refusal::Full
         | Refusal::Slow
         | Refusal::FairShare
+        | Refusal::CrashingPart
         | Refusal::NotRun
         | Refusal::Deadline => wait,
     };
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -287,10 +287,14 @@
     }
 
     fn record_event(&mut self) {
+        let now = self.request.router.now();
         if let Some(current) = &mut self.current {
             current.in_flight.on_prompt_prefilled();
+            if current.on_event(now) {
+                let parts = &self.request.head.shared_parts;
+                self.request.router.record_answered_parts(parts);
+            }
         }
-        let now = self.request.router.now();
         if self.first_event.is_some() {
             let pause = now.saturating_sub(self.last_event);
             self.longest_pause = self.longest_pause.max(pause);
@@ -333,6 +337,12 @@
         let Some(current) = &mut self.current else {
             return Read::Broken("gap");
         };
+        let has_begun = current.has_begun();
+        let convicted = self
+            .request
+            .router
+            .wait_until_convicted(&self.request.head.shared_parts);
+        let mut convicted = std::pin::pin!(convicted);
         let mut wait = std::pin::pin!(tokio::time::sleep(left.min(silence)));
         loop {
             tokio::select! {
@@ -346,6 +356,8 @@
                         return Read::Silent;
                     }
                 }
+                // Leaving the target before it begins the answer saves it.
+                () = &mut convicted, if !has_begun => return Read::Broken("crashing_part"),
                 () = &mut wait => {
                     return if silence < left { Read::Silent } else { Read::Deadline };
                 }
@@ -430,15 +442,20 @@
             "ms_since_sent" => since_sent,
             "first" => self.current.as_ref().map(|c| c.address.to_string()),
             "parts" => PartsText(&self.request.head.shared_parts));
+        let is_quarantined = self.request.is_quarantined();
         let mut failure = match self.current.take() {
             Some(lost) => {
+                if !lost.is_under_way() && !is_quarantined {
+                    self.request.record_broken(lost.address, lost.sent_at);
+                }
                 self.request.probe(&lost, self.last_bytes);
                 attempt_failure(self.request.excluded_hop(&lost))
             }
             None => Failure::Unknown,
         };
         loop {
-            if self.request.on_failure(failure) != Next::Retry {
+            let is_over = self.request.is_quarantined();
+            if is_over || self.request.on_failure(failure) != Next::Retry {
                 self.request.guard.complete();
                 self.log_end(cause);
                 return Err(BodyError::Broken);
@@ -465,6 +482,10 @@
             .on_answered(took);
         if let Some(current) = &self.current {
             self.request.router.record_success(current.address);
+            if current.has_begun() {
+                let parts = &self.request.head.shared_parts;
+                self.request.router.record_answered_parts(parts);
+            }
         }
     }
 
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -27,6 +27,7 @@
 };
 use crate::placer::Placements;
 use crate::protocol::{Protocol, Topic};
+use crate::quarantine::Quarantine;
 use crate::refusal::WaitEstimator;
 use crate::revision_tracker::RevisionTracker;
 use crate::routes::{Configuration, EngineModel, Service};
@@ -61,6 +62,12 @@
     pub liveness: RefCell<Liveness>,
     /// Notified when a probe of a target or a connection to it fails.
     pub target_unreachable: Notify,
+    /// Parts of prompts that crash targets.
+    pub quarantine: RefCell<Quarantine>,
+    /// Notified when a part comes into quarantine or a quarantine is lifted.
+    pub quarantine_changed: Notify,
+    /// Whether the next datagram to the peers must not wait.
+    pub is_news_urgent: Cell<bool>,
     /// Orders and layers of engines that are newer than the platform's list.
     pub placements: RefCell<Placements>,
     /// Store revisions that this entry and its peers know.
@@ -96,6 +103,9 @@
             exclusions: RefCell::default(),
             liveness: RefCell::default(),
             target_unreachable: Notify::new(),
+            quarantine: RefCell::default(),
+            quarantine_changed: Notify::new(),
+            is_news_urgent: Cell::new(false),
             placements: RefCell::default(),
             revisions: RevisionTracker::default(),
             wait_estimator: RefCell::default(),
@@ -163,6 +173,7 @@
     pub fn record_unreachable(&self, target: SocketAddr, cause: &str) {
         self.liveness.borrow_mut().end_probe(target, false);
         self.record_failure(target, cause);
+        self.record_ended_target(target);
         self.target_unreachable.notify_waiters();
     }
 
--- a/crates/coriandercove_router/tests/crashing_prompt.rs
+++ b/crates/coriandercove_router/tests/crashing_prompt.rs
@@ -92,6 +92,8 @@
     for n in 0..3 {
         members.push(cluster.join(n).await);
     }
+    // The entries decide without the store.
+    cluster.verdicts.is_down.set(true);
     let answers = Answers::default();
     load(&members, 1, Duration::from_secs(7), &answers).await;
     // An entry that joins later has to follow the same decision.
@@ -159,3 +161,55 @@
     let answer = read_until(&mut caller, "id: 1\n").await;
     assert_that!(answer, starts_with("HTTP/1.1 200"));
 }
+
+/// Sends a request with the crashing part and returns the head of the answer.
+async fn crashing_request(member: &Rc<Member>, label: &str) -> String {
+    let parts = format!("{SHARED},{CRASHING}");
+    let headers = format!("label: {label}\r\nparts: {parts}\r\nconnection: close\r\n");
+    let mut caller = member.entry.request("/resumable/x", &headers).await;
+    read_all(&mut caller).await
+}
+
+/// Polls until a condition holds, for as long as an operator may wait.
+async fn wait_for(what: &str, condition: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !condition() {
+        assert_that!(began.elapsed(), lt(Duration::from_secs(15)), "{what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against forgetting the part when all entries restart, and against a quarantine that an
+/// operator cannot end.
+#[actix_rt::test]
+async fn the_store_keeps_a_quarantine_until_an_operator_lifts_it() {
+    let cluster = Cluster::start(6, CRASHING).await;
+    let members = [cluster.join(0).await, cluster.join(1).await];
+    for n in 0..3 {
+        crashing_request(&members[n % 2], &format!("c{n}")).await;
+    }
+    let is_convicted =
+        |member: &Rc<Member>| member.entry.router.convicted_part(&[CRASHING]).is_some();
+    wait_for("the verdict is stored", || {
+        !cluster.verdicts.objects.borrow().is_empty()
+    })
+    .await;
+    // Entries that know nobody of before: they and their targets are new, the store is the same.
+    let mut restarted = Cluster::start(2, CRASHING).await;
+    restarted.verdicts = Rc::clone(&cluster.verdicts);
+    let new = restarted.join(0).await;
+    wait_for("a new entry knows the verdict", || is_convicted(&new)).await;
+    let answer = crashing_request(&new, "n").await;
+    assert_that!(answer, starts_with("HTTP/1.1 503"));
+    assert_that!(answer, contains_substring("retry-after: "));
+    assert_that!(restarted.events.arrivals.borrow().len(), eq(0));
+
+    cluster.verdicts.objects.borrow_mut().clear();
+    wait_for("all entries lift the quarantine", || {
+        !members.iter().any(is_convicted) && !is_convicted(&new)
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_that!(members.iter().any(is_convicted), eq(false));
+    assert_that!(cluster.verdicts.objects.borrow().len(), eq(0));
+}
--- a/crates/coriandercove_router/tests/support/cluster.rs
+++ b/crates/coriandercove_router/tests/support/cluster.rs
@@ -13,7 +13,10 @@
 use coriandercove_base::timer::{Subscription, TimerService};
 use coriandercove_router::fleet::Target;
 use coriandercove_router::peers::Peers;
+use coriandercove_router::protocol::{DirectoryError, PromptPart};
 use coriandercove_router::settings::Settings;
+use coriandercove_router::verdict_sync::{StoredVerdict, VerdictStore, VerdictSync};
+use futures_util::future::LocalBoxFuture;
 
 use super::{Entry, read_until, settings, write};
 
@@ -135,10 +138,52 @@
     }
 }
 
+/// The verdicts in the platform's store.
+#[derive(Default)]
+pub struct FakeVerdicts {
+    pub objects: RefCell<Vec<StoredVerdict>>,
+    /// Whether every call fails.
+    pub is_down: Cell<bool>,
+}
+
+impl FakeVerdicts {
+    fn call<T: 'static>(&self, answer: T) -> LocalBoxFuture<'_, Result<T, DirectoryError>> {
+        let answer = if self.is_down.get() {
+            Err(DirectoryError::Declined { status: 503 })
+        } else {
+            Ok(answer)
+        };
+        Box::pin(std::future::ready(answer))
+    }
+}
+
+impl VerdictStore for FakeVerdicts {
+    fn list_verdicts(&self) -> LocalBoxFuture<'_, Result<Vec<StoredVerdict>, DirectoryError>> {
+        self.call(self.objects.borrow().clone())
+    }
+
+    fn add_verdict(
+        &self,
+        verdict: StoredVerdict,
+    ) -> LocalBoxFuture<'_, Result<(), DirectoryError>> {
+        if !self.is_down.get() {
+            self.objects.borrow_mut().push(verdict);
+        }
+        self.call(())
+    }
+
+    fn remove_verdict(&self, part: PromptPart) -> LocalBoxFuture<'_, Result<(), DirectoryError>> {
+        if !self.is_down.get() {
+            self.objects.borrow_mut().retain(|v| v.part != part);
+        }
+        self.call(())
+    }
+}
+
 /// One entry with its exchange of datagrams.
 pub struct Member {
     pub entry: Entry,
-    _sending: Subscription,
+    _sending: [Subscription; 2],
     _timers: TimerService,
 }
 
@@ -164,6 +209,7 @@
 pub struct Cluster {
     members: Rc<Members>,
     pub events: Rc<Events>,
+    pub verdicts: Rc<FakeVerdicts>,
     port: u16,
 }
 
@@ -174,6 +220,7 @@
         let cluster = Self {
             members: Rc::default(),
             events: Rc::default(),
+            verdicts: Rc::default(),
             port: socket.local_addr().unwrap().port(),
         };
         for _ in 0..targets {
@@ -210,10 +257,12 @@
         let socket = UdpSocket::bind(settings.peers).await.unwrap();
         let entry = Entry::start_with(settings, &[]).await;
         let timers = TimerService::start();
-        let (_, sending) = Peers::start(Rc::clone(&entry.router), socket, &timers);
+        let (peers, sending) = Peers::start(Rc::clone(&entry.router), socket, &timers);
+        let verdicts = Rc::clone(&self.verdicts) as Rc<dyn VerdictStore>;
+        let judging = VerdictSync::start(Rc::clone(&entry.router), peers, verdicts, &timers);
         let member = Rc::new(Member {
             entry,
-            _sending: sending,
+            _sending: [sending, judging],
             _timers: timers,
         });
         for (address, incarnation) in self.members.targets.borrow().iter() {
