Read the limit that a target names in its answers

Cause: targets in need name how many requests a second they take from all entries; nothing reads it, and the lines do not show it. No decision uses it yet.

--- a/crates/coriandercove_router/src/metrics.rs
+++ b/crates/coriandercove_router/src/metrics.rs
@@ -7,6 +7,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 
+use crate::protocol::NamedLimit;
+
 /// Metrics of a router.
 #[derive(Clone)]
 pub struct RouterMetrics {
@@ -30,6 +32,8 @@
     unreadable: CounterFamily,
     /// Placement orders and path changes, by outcome.
     orders: CounterFamily,
+    /// Answers in which targets named a limit, by whether it can be read.
+    named_limits: CounterFamily,
     /// Changed verdicts on parts of prompts, by change and source together.
     verdicts: CounterFamily,
     /// Parts of prompts in quarantine.
@@ -72,6 +76,7 @@
             platform_errors: m.counters("platform_errors", "Failed calls to the platform by topic"),
             unreadable: m.counters("unreadable_objects", "Objects that cannot be read by topic"),
             orders: m.counters("orders", "Orders to engines by outcome"),
+            named_limits: m.counters("named_limits", "Answers that name a limit by readability"),
             verdicts: m.counters("part_verdicts", "Verdicts on parts of prompts by change"),
             quarantined: m.gauge("quarantined_parts", "Parts of prompts in quarantine"),
             cancelled: m.counter("cancelled", "Requests whose caller left"),
@@ -151,6 +156,16 @@
         count(&self.orders, "outcome", outcome);
     }
 
+    /// Counts an answer in which the target named a limit.
+    pub fn named_limit(&self, limit: NamedLimit) {
+        let readability = match limit {
+            NamedLimit::None => return,
+            NamedLimit::Rate(_) => "readable",
+            NamedLimit::Unreadable => "unreadable",
+        };
+        count(&self.named_limits, "limit", readability);
+    }
+
     /// Counts a changed verdict on a part of prompts.
     pub fn verdict(&self, change: &str, source: &str) {
         let label = format!("{change}_by_{source}");
--- a/crates/coriandercove_router/src/protocol.rs
+++ b/crates/coriandercove_router/src/protocol.rs
@@ -72,6 +72,21 @@
     pub resume_after: Option<u64>,
 }
 
+/// Rate of requests, in requests per 1000 seconds.
+pub type MilliRate = u64;
+
+/// What an answer says about the requests that its target takes from all entries together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum NamedLimit {
+    /// The target names no limit.
+    #[default]
+    None,
+    /// The target takes requests at this rate at the most.
+    Rate(MilliRate),
+    /// The target names a limit that cannot be decoded.
+    Unreadable,
+}
+
 /// Decoded head of a target's answer, without the status.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct AnswerFacts {
@@ -84,6 +99,8 @@
     pub label: Option<String>,
     /// Address of the hop that caused the failure, if the answer names one.
     pub at_fault: Option<SocketAddr>,
+    /// Limit of requests that the target names.
+    pub limit: NamedLimit,
 }
 
 /// State of an engine, as the engine reports it.
--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -18,7 +18,7 @@
 use crate::attempt::{Attempts, Failure, Next, Outcome};
 use crate::fair_share::Rank;
 use crate::path::{Bottleneck, Demand, Hop, NoPath};
-use crate::protocol::{CallerHead, Dispatch};
+use crate::protocol::{CallerHead, Dispatch, NamedLimit};
 use crate::refusal::Refusal;
 use crate::relay::Body;
 use crate::routes::{EngineModel, Route, Service};
@@ -354,6 +354,11 @@
             .router
             .protocol
             .answer_facts(head.status, &head.headers);
+        if facts.limit != NamedLimit::None {
+            info!(self.router.log, "target names a limit"; "req" => &*self.head.label,
+                "first" => %address, "limit" => ?facts.limit);
+            self.router.metrics.named_limit(facts.limit);
+        }
         let is_other = facts.label.is_some_and(|l| *l != *self.head.label);
         if is_other {
             warn!(self.router.log, "answer to another request"; "req" => &*self.head.label,
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -26,14 +26,15 @@
 use coriandercove_router::fleet::Target;
 use coriandercove_router::path::Hop;
 use coriandercove_router::protocol::{
-    AnswerFacts, CallerHead, Dispatch, Malformed, PlacementOrder, Protocol, Report,
+    AnswerFacts, CallerHead, Dispatch, Malformed, NamedLimit, PlacementOrder, Protocol, Report,
 };
 use coriandercove_router::routes::{ConfigurationBuilder, Repeat, Route, Service};
 use coriandercove_router::server::Server;
 use coriandercove_router::settings::Settings;
 use coriandercove_router::state::Router;
 
-/// Encoder and decoder with plain headers for tests; `parts` lists the shared parts of a prompt.
+/// Encoder and decoder with plain headers for tests; `parts` lists the shared parts of a prompt,
+/// `limit` is the limit that a target names in requests per 1000 seconds.
 pub struct TestProtocol;
 
 const LABEL: &str = "label";
@@ -80,6 +81,11 @@
             is_stamped: headers.contains_key("stamp"),
             label: text(headers, LABEL),
             at_fault: None,
+            limit: text(headers, "limit").map_or(NamedLimit::None, |limit| {
+                limit
+                    .parse()
+                    .map_or(NamedLimit::Unreadable, NamedLimit::Rate)
+            }),
         }
     }
 
