--- a/crates/coriandercove_router/tests/support/cluster.rs
+++ b/crates/coriandercove_router/tests/support/cluster.rs
@@ -1,5 +1,5 @@
-//! Several entries that exchange datagrams, and targets that crash on a part of a prompt and come
-//! back as new incarnations.
+//! Several entries that exchange datagrams, and targets that name limits, crash on a part of a prompt
+//! and come back as new incarnations.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -34,6 +34,8 @@
     pub at: Instant,
     pub label: String,
     pub is_crashing: bool,
+    /// Position of the target in the cluster.
+    pub target: usize,
 }
 
 /// What happened at the targets of a cluster.
@@ -41,11 +43,25 @@
 pub struct Events {
     pub arrivals: RefCell<Vec<Arrival>>,
     pub crashes: RefCell<Vec<Instant>>,
+    /// Limits that targets name in their answers, by position.
+    pub limits: RefCell<Vec<(usize, String)>>,
+}
+
+impl Events {
+    /// Lets a target name this limit from now on; none if the text is empty.
+    pub fn name_limit(&self, target: usize, limit: &str) {
+        let mut limits = self.limits.borrow_mut();
+        limits.retain(|(t, _)| *t != target);
+        if !limit.is_empty() {
+            limits.push((target, limit.to_owned()));
+        }
+    }
 }
 
 /// A target that streams an answer, and crashes if the prompt holds the part `crashing_part`.
 struct CrashingTarget {
     address: SocketAddr,
+    position: usize,
     incarnation: Cell<u64>,
     crashing_part: u64,
     connections: RefCell<Vec<JoinHandle<()>>>,
@@ -86,6 +102,12 @@
         }
     }
 
+    fn limit_header(&self) -> String {
+        let limits = self.events.limits.borrow();
+        let limit = limits.iter().find(|(t, _)| *t == self.position);
+        limit.map_or_else(String::new, |(_, l)| format!("limit: {l}\r\n"))
+    }
+
     async fn answer(self: Rc<Self>, mut stream: TcpStream) {
         let head = read_until(&mut stream, "\r\n\r\n").await;
         if head.contains("/report") {
@@ -100,10 +122,12 @@
             at: Instant::now(),
             label: label.clone(),
             is_crashing,
+            target: self.position,
         };
         self.events.arrivals.borrow_mut().push(arrival);
         let answer = format!(
-            "HTTP/1.1 200 OK\r\nstamp: 1\r\nlabel: {label}\r\ntransfer-encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nstamp: 1\r\nlabel: {label}\r\n{}transfer-encoding: chunked\r\n\r\n",
+            self.limit_header()
         );
         write(&mut stream, &answer).await;
         tokio::time::sleep(CRASH_DELAY).await;
@@ -223,10 +247,11 @@
             verdicts: Rc::default(),
             port: socket.local_addr().unwrap().port(),
         };
-        for _ in 0..targets {
+        for position in 0..targets {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let target = Rc::new(CrashingTarget {
                 address: listener.local_addr().unwrap(),
+                position,
                 incarnation: Cell::new(1),
                 crashing_part,
                 connections: RefCell::default(),
