Keep the limits that targets name over all entries

What callers see: on systems like ours, a target in need gets many times what it named and fails the requests of all callers. Cause: nothing followed the limit, and each entry decided alone. Class: back pressure that is not followed, and a global limit kept by parts that do not share it. Change: each entry sends by permits at the rate of its share of a limit; shares follow what the entries' callers ask for, low limits are left to some entries, unused permits are lost. Entries tell each other what they saw last. Probes, reports, orders, repeats and moved streams count. The rest goes to other targets or is refused as full at once. An answer without a limit withdraws it only if its request was sent after the limit was last named; unreadable ones leave the limit as it is. Ruled out: counting what all entries sent (62 entries send between two digests), an even split alone (one busy entry uses an eighth), permits in the store.

--- a/crates/coriandercove_router/src/lib.rs
+++ b/crates/coriandercove_router/src/lib.rs
@@ -10,7 +10,8 @@
 //! Decisions are pure functions or plain state: [`path`] chooses the targets that a model request
 //! passes through, [`fair_share`] ranks requests that are placed at the same time and limits
 //! accounts, [`layout`] divides the model's layers among the targets, [`refusal`] estimates when a
-//! refused caller should retry, [`attempt`] decides what follows a failed attempt, [`budget`] limits
+//! refused caller should retry, [`attempt`] decides what follows a failed attempt, [`limits`] keeps to
+//! what targets in need take, [`budget`] limits
 //! repeats, [`exclusions`] and [`liveness`] track failing and silent targets, and [`quarantine`] keeps
 //! prompts from targets that crash on a part of them.
 //! Time, randomness and observations are passed in.
@@ -27,6 +28,7 @@
 pub mod fair_share;
 pub mod fleet;
 pub mod layout;
+pub mod limits;
 pub mod liveness;
 pub mod load;
 pub mod metrics;
--- a/crates/coriandercove_router/src/metrics.rs
+++ b/crates/coriandercove_router/src/metrics.rs
@@ -36,6 +36,8 @@
     named_limits: CounterFamily,
     /// Changed verdicts on parts of prompts, by change and source together.
     verdicts: CounterFamily,
+    /// Targets that name a limit.
+    pub limited_targets: Gauge,
     /// Parts of prompts in quarantine.
     pub quarantined: Gauge,
     /// Requests whose caller disconnected before the answer was complete.
@@ -78,6 +80,7 @@
             orders: m.counters("orders", "Orders to engines by outcome"),
             named_limits: m.counters("named_limits", "Answers that name a limit by readability"),
             verdicts: m.counters("part_verdicts", "Verdicts on parts of prompts by change"),
+            limited_targets: m.gauge("limited_targets", "Targets that name a limit"),
             quarantined: m.gauge("quarantined_parts", "Parts of prompts in quarantine"),
             cancelled: m.counter("cancelled", "Requests whose caller left"),
             omitted_lines: m.counter("omitted_log_lines", "Log lines left out"),
--- a/crates/coriandercove_router/src/peers.rs
+++ b/crates/coriandercove_router/src/peers.rs
@@ -11,6 +11,7 @@
 use coriandercove_base::timer::{Subscription, TimerService};
 use coriandercove_base::{NodeId, SortedMap, Time, data};
 
+use crate::limits::LimitsReport;
 use crate::load::{DIGEST_LIFETIME, Digest};
 use crate::placer::Placement;
 use crate::quarantine::QuarantineReport;
@@ -58,13 +59,15 @@
 struct Reports {
     usage: UsageReport,
     quarantine: QuarantineReport,
+    limits: LimitsReport,
 }
 
 /// Encodes a datagram and the reports that follow it.
 fn encode(datagram: &Datagram, reports: &Reports) -> postcard::Result<Vec<u8>> {
     let bytes = postcard::to_allocvec(datagram)?;
     let bytes = postcard::to_extend(&reports.usage, bytes)?;
-    postcard::to_extend(&reports.quarantine, bytes)
+    let bytes = postcard::to_extend(&reports.quarantine, bytes)?;
+    postcard::to_extend(&reports.limits, bytes)
 }
 
 /// Decodes a report that a datagram of an earlier version lacks, and returns what follows it.
@@ -81,8 +84,14 @@
 fn decode(bytes: &[u8]) -> postcard::Result<(Datagram, Reports)> {
     let (datagram, rest) = postcard::take_from_bytes(bytes)?;
     let (usage, rest) = take_report(rest)?;
-    let (quarantine, _) = take_report(rest)?;
-    Ok((datagram, Reports { usage, quarantine }))
+    let (quarantine, rest) = take_report(rest)?;
+    let (limits, _) = take_report(rest)?;
+    let reports = Reports {
+        usage,
+        quarantine,
+        limits,
+    };
+    Ok((datagram, reports))
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -200,6 +209,7 @@
         let reports = Reports {
             usage: self.router.usage.borrow().report(now),
             quarantine: self.router.quarantine.borrow().report(now),
+            limits: self.router.limits.borrow().report(now),
         };
         let bytes = match encode(&datagram, &reports) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => bytes,
@@ -271,6 +281,15 @@
             .on_report(datagram.node.clone(), reports.usage, now);
         self.router
             .on_quarantine_report(&datagram.node, reports.quarantine);
+        let changed = self.router.limits.borrow_mut().on_report(
+            datagram.node.clone(),
+            &reports.limits,
+            now,
+            &mut self.router.rng.borrow_mut(),
+        );
+        for target in changed {
+            self.router.log_limit(target, "peer");
+        }
         self.router
             .load
             .borrow_mut()
--- a/crates/coriandercove_router/src/peers/tests.rs
+++ b/crates/coriandercove_router/src/peers/tests.rs
@@ -45,6 +45,10 @@
             answers: vec![AnswerReport { part: 7, age_ms: 1 }],
             ..QuarantineReport::default()
         },
+        limits: LimitsReport {
+            limits: Vec::new(),
+            demand: 5,
+        },
     };
     let with = encode(&datagram(), &reports).unwrap();
     expect_that!(decode(&with).unwrap().1, eq(&reports));
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -34,6 +34,9 @@
 const PLACE_PERIOD: Duration = Duration::from_millis(250);
 /// Interval at which the responsible entry reads the report of each engine.
 const REPORT_PERIOD: Duration = Duration::from_millis(1500);
+/// Of how many rounds the report of an engine that names a limit is read in one; reports count
+/// against the limit.
+const LIMITED_REPORT_ROUNDS: u32 = 4;
 /// Interval at which the report of an engine that carries out an order is read.
 const ORDER_POLL: Duration = Duration::from_millis(500);
 /// Timeout of an order and of reading a report.
@@ -64,6 +67,8 @@
     router: Rc<Router>,
     peers: Rc<Peers>,
     last_move: Cell<Time>,
+    /// Number of times that the reports were due.
+    report_rounds: Cell<u32>,
     /// Revision of the configuration and the targets for which no move was worth its cost.
     /// Comparing all moves takes milliseconds, and most checks find the fleet unchanged.
     last_balanced: RefCell<Option<(u64, Vec<Holder>)>>,
@@ -77,6 +82,7 @@
             router,
             peers,
             last_move: Cell::new(Time::ZERO),
+            report_rounds: Cell::new(0),
             last_balanced: RefCell::default(),
         });
         let place = {
@@ -94,6 +100,7 @@
         self.router.load.borrow_mut().expire(now);
         self.router.usage.borrow_mut().expire(now);
         self.router.exclusions.borrow_mut().expire(now);
+        self.router.limits.borrow_mut().expire(now);
         self.router.liveness.borrow_mut().expire(now);
         self.router
             .placements
@@ -224,6 +231,7 @@
 
     async fn send_order(&self, target: &Arc<Target>, order: PlacementOrder) {
         let request = self.router.protocol.placement_request(&order);
+        self.router.record_sent(target.address);
         let answer = call(target.address, request, CALL_TIMEOUT).await;
         let layers = order.layers;
         let outcome = match &answer {
@@ -282,10 +290,17 @@
         let mut entries = self.peers.ready();
         entries.push(self.router.settings.node.clone());
         entries.sort();
+        let round = self.report_rounds.get();
+        self.report_rounds.set(round.wrapping_add(1));
+        let is_due = |address| {
+            let is_limited = self.router.limits.borrow().limit(address).is_some();
+            !is_limited || round.is_multiple_of(LIMITED_REPORT_ROUNDS)
+        };
         let targets: Vec<Arc<Target>> = {
             let fleet = self.router.fleet.borrow();
             let all = fleet.iter().filter(|t| is_engine(&cfg, t));
-            all.filter(|t| responsible_entry(&t.id, &entries) == Some(&self.router.settings.node))
+            all.filter(|t| is_due(t.address))
+                .filter(|t| responsible_entry(&t.id, &entries) == Some(&self.router.settings.node))
                 .map(Arc::clone)
                 .collect()
         };
@@ -338,6 +353,7 @@
 
 async fn read_report(router: &Router, address: SocketAddr) -> Result<Report, String> {
     let request = router.protocol.report_request();
+    router.record_sent(address);
     let answer = call(address, request, CALL_TIMEOUT)
         .await
         .map_err(|e| e.to_string())?;
@@ -379,6 +395,7 @@
 
 async fn probe(router: Rc<Router>, address: SocketAddr) {
     let request = router.protocol.report_request();
+    router.record_sent(address);
     if call(address, request, PROBE_TIMEOUT).await.is_ok() {
         router.liveness.borrow_mut().end_probe(address, true);
     } else {
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -48,6 +48,7 @@
     let arrived = router.now();
     router.metrics.requests.inc();
     router.retry_budget.borrow_mut().on_request(arrived);
+    router.limits.borrow_mut().on_request(arrived);
     let head = router.protocol.caller_head(req.headers());
     let label = Arc::clone(&head.label);
     let answer = match admit(&router, req, head, arrived).await {
--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -18,7 +18,7 @@
 use crate::attempt::{Attempts, Failure, Next, Outcome};
 use crate::fair_share::Rank;
 use crate::path::{Bottleneck, Demand, Hop, NoPath};
-use crate::protocol::{CallerHead, Dispatch, NamedLimit};
+use crate::protocol::{CallerHead, Dispatch};
 use crate::refusal::Refusal;
 use crate::relay::Body;
 use crate::routes::{EngineModel, Route, Service};
@@ -354,17 +354,15 @@
             .router
             .protocol
             .answer_facts(head.status, &head.headers);
-        if facts.limit != NamedLimit::None {
-            info!(self.router.log, "target names a limit"; "req" => &*self.head.label,
-                "first" => %address, "limit" => ?facts.limit);
-            self.router.metrics.named_limit(facts.limit);
-        }
         let is_other = facts.label.is_some_and(|l| *l != *self.head.label);
         if is_other {
             warn!(self.router.log, "answer to another request"; "req" => &*self.head.label,
                 "first" => %address);
             return Err(FailedAttempt::unknown());
         }
+        if facts.is_not_run || facts.is_stamped {
+            self.router.record_limit(address, facts.limit, sent_at);
+        }
         if facts.is_not_run {
             let at_fault = facts.at_fault.unwrap_or(address);
             warn!(self.router.log, "target did not run it"; "req" => &*self.head.label,
@@ -423,6 +421,7 @@
                 .borrow_mut()
                 .on_admitted(self.now());
             let first = &path.hops[0];
+            self.router.record_sent(first.address);
             return Ok(Destination {
                 target: first.id.clone(),
                 address: first.address,
@@ -434,11 +433,19 @@
         let target = self
             .router
             .choose_target(&self.service.name, &self.tried)
-            .ok_or_else(|| FailedAttempt::not_sent(Refusal::NoTarget))?;
+            .ok_or_else(|| {
+                let is_limited = self.router.has_limited_target(&self.service.name);
+                FailedAttempt::not_sent(if is_limited {
+                    Refusal::Full
+                } else {
+                    Refusal::NoTarget
+                })
+            })?;
         let requests = self.router.load.borrow().total(target.address).requests;
         if requests >= target.slots.max(1) * REQUESTS_PER_SLOT {
             return Err(FailedAttempt::not_sent(Refusal::Full));
         }
+        self.router.record_sent(target.address);
         let in_flight = InFlight::at_target(&self.router, target.address);
         Ok(Destination {
             target: target.id.clone(),
@@ -571,6 +578,7 @@
             .router
             .protocol
             .repath_request(&self.head.label, &path.hops);
+        self.router.record_sent(started.address);
         let answer = call(started.address, request, CHANGE_TIMEOUT).await;
         let is_accepted = answer.as_ref().is_ok_and(|a| a.status.is_success());
         self.router.metrics.order(if is_accepted {
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -18,6 +18,7 @@
 use crate::fair_share::{Rank, ShareLimiter, Unseen, rank};
 use crate::fleet::{Fleet, LayerRange, Target};
 use crate::layout;
+use crate::limits::Limits;
 use crate::liveness::Liveness;
 use crate::load::{Load, Work, ZonePair, zone_pair};
 use crate::metrics::{RouterMetrics, TargetGauges};
@@ -26,7 +27,7 @@
     find_bottleneck,
 };
 use crate::placer::Placements;
-use crate::protocol::{Protocol, Topic};
+use crate::protocol::{NamedLimit, Protocol, Topic};
 use crate::quarantine::Quarantine;
 use crate::refusal::WaitEstimator;
 use crate::revision_tracker::RevisionTracker;
@@ -56,6 +57,8 @@
     pub usage: RefCell<UsageTracker>,
     /// Limit of the requests in flight of each account while the fleet is full.
     pub share_limiter: RefCell<ShareLimiter>,
+    /// Limits that targets in need name, and this entry's share of them.
+    pub limits: RefCell<Limits>,
     /// Failing targets that get no new work.
     pub exclusions: RefCell<Exclusions>,
     /// Last events and probes of targets.
@@ -88,8 +91,11 @@
     pub fn new(settings: Settings, protocol: Rc<dyn Protocol>, log: Logger, rng: Rng) -> Self {
         let live = settings.live();
         let budget = RetryBudget::new(live.retry_ratio, live.retry_slack, live.retry_window);
+        let has_peers = settings.seeds.iter().any(|s| s.ip() != settings.peers.ip());
+        let limits = Limits::new(settings.node.clone(), has_peers);
         Self {
             settings,
+            limits: RefCell::new(limits),
             live: Cell::new(live),
             protocol,
             log,
@@ -184,6 +190,58 @@
         }
     }
 
+    /// Whether the limit that a target names, if any, allows a request of this entry now.
+    #[must_use]
+    pub fn may_send(&self, target: SocketAddr) -> bool {
+        self.limits.borrow().allows(target, self.now())
+    }
+
+    /// Counts a request, probe or order that is sent to a target against its limit.
+    pub fn record_sent(&self, target: SocketAddr) {
+        self.limits.borrow_mut().on_sent(target, self.now());
+    }
+
+    /// Whether a target of the service names a limit.
+    #[must_use]
+    pub fn has_limited_target(&self, service: &str) -> bool {
+        let (fleet, limits) = (self.fleet.borrow(), self.limits.borrow());
+        let mut targets = fleet.of_service(service);
+        targets.any(|t| limits.limit(t.address).is_some())
+    }
+
+    /// Records what an answer of a target says about its limit; `sent_at` is the time at which the
+    /// request was sent.
+    pub fn record_limit(&self, target: SocketAddr, named: NamedLimit, sent_at: Time) {
+        self.metrics.named_limit(named);
+        let is_changed = self.limits.borrow_mut().on_answer(
+            target,
+            named,
+            sent_at,
+            self.now(),
+            &mut self.rng.borrow_mut(),
+        );
+        if is_changed {
+            self.is_news_urgent.set(true);
+            self.log_limit(target, "answer");
+        } else if named == NamedLimit::Unreadable {
+            warn!(self.log, "limit not readable, the one before stays"; "target" => %target);
+        }
+    }
+
+    /// Logs a changed limit and whether an answer or a peer showed it.
+    pub(crate) fn log_limit(&self, target: SocketAddr, source: &str) {
+        let limits = self.limits.borrow();
+        self.metrics
+            .limited_targets
+            .set(limits.len().cast_signed() as i64);
+        match limits.limit(target) {
+            Some(limit) => info!(self.log, "limit of a target"; "target" => %target,
+                "per_second" => limit, "source" => source),
+            None => info!(self.log, "limit of a target withdrawn"; "target" => %target,
+                "source" => source),
+        }
+    }
+
     /// Whether a target accepts new work: it is neither draining nor excluded, and no probe of it
     /// is overdue.
     #[must_use]
@@ -270,7 +328,8 @@
                     address: t.address,
                     zone: t.zone.clone(),
                     layers,
-                    slots: t.slots,
+                    // Without a permit, a target may still be a later hop.
+                    slots: if self.may_send(t.address) { t.slots } else { 0 },
                     kv_capacity: layout::kv_capacity(engine, accelerator, layers.len()),
                     decode_factor: accelerator.decode_factor * slowness,
                     prefill_factor: accelerator.prefill_factor * slowness,
@@ -334,14 +393,15 @@
 
     /// Chooses the target of a plain service that has the fewest requests for each of its slots,
     /// with a preference for this entry's zone. Targets in `tried` are chosen only if there is no
-    /// other, and so are those that accept no new work.
+    /// other, and so are those that accept no new work. Targets whose limit allows no request now are
+    /// left out.
     #[must_use]
     pub fn choose_target(&self, service: &str, tried: &[SocketAddr]) -> Option<Arc<Target>> {
         let fleet = self.fleet.borrow();
         let load = self.load.borrow();
         let listed: Vec<&Arc<Target>> = fleet
             .of_service(service)
-            .filter(|t| !t.is_draining)
+            .filter(|t| !t.is_draining && self.may_send(t.address))
             .collect();
         // A lower rank is better. Targets that were not tried and accept work come first, but any
         // target is better than none.
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -247,6 +247,12 @@
                 "started_ms" => target.started_ms, "accelerator" => &*target.accelerator,
                 "layers" => target.layers.map(|l| l.to_string()));
         }
+        let is_same = old
+            .as_ref()
+            .is_some_and(|o| o.started_ms == target.started_ms && o.address == target.address);
+        if !is_same {
+            self.router.limits.borrow_mut().on_restarted(target.address);
+        }
         let now = self.router.now();
         self.router.placements.borrow_mut().on_listed(target, now);
     }
--- a/crates/coriandercove_router/tests/metrics.rs
+++ b/crates/coriandercove_router/tests/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use coriandercove_router::metrics::{RouterMetrics, TargetGauges};
+use coriandercove_router::protocol::NamedLimit;
 
 /// All metrics as text; a family appears only once it has a label.
 fn with_each_label() -> String {
@@ -17,6 +18,8 @@
     m.unreadable("targets");
     m.order("accepted");
     m.platform_age("targets", Duration::ZERO);
+    m.named_limit(NamedLimit::Unreadable);
+    m.verdict("convicted", "evidence");
     m.targets_in_flight(std::iter::once(TargetGauges {
         id: "t",
         requests: 0,
