Take a stream that ends with its connection before any event for broken off

What callers saw: nothing yet; an engine that crashes as it begins the answer may end a stream without a length or chunks, and the caller would get an empty answer as complete. Cause: the end of a connection counted as the end of the stream unless an event was cut. Change: without a length, without chunks and without an event, a stream that was not resumed is broken off and goes on elsewhere. Measurement: a_stream_without_a_length_that_is_broken_off_goes_on failed before for the empty stream (no event, complete) and passes; the two that end inside an event passed before as well.

--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::header::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use slog::{info, warn};
 
@@ -142,6 +142,12 @@
         self.progress == Progress::UnderWay
     }
 
+    /// Whether the answer has neither a length nor chunks, so that it ends with its connection.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        let headers = &self.exchange.head.headers;
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Whether an event has arrived.
     pub(crate) fn has_begun(&self) -> bool {
         self.progress != Progress::Waiting
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -223,7 +223,7 @@
                         Err(_) => "event_too_long",
                     }
                 }
-                Read::End if !self.splitter.has_partial() => {
+                Read::End if !self.splitter.has_partial() && !self.ended_unbegun() => {
                     self.finish();
                     return None;
                 }
@@ -249,6 +249,15 @@
         }
     }
 
+    /// Whether the stream ended with its connection before any event, so that nothing shows it to be
+    /// complete. A resumed stream may have no event left.
+    fn ended_unbegun(&self) -> bool {
+        let is_resumed = self.request.cursor.last().is_some();
+        self.current
+            .as_ref()
+            .is_some_and(|c| !is_resumed && !c.has_begun() && c.ends_with_connection())
+    }
+
     /// Returns the complete events that have arrived and that the caller lacks.
     fn whole_events(&mut self) -> Result<Option<Bytes>, &'static str> {
         let mut piece: Option<BytesMut> = None;
--- a/crates/coriandercove_router/tests/proxy.rs
+++ b/crates/coriandercove_router/tests/proxy.rs
@@ -218,6 +218,30 @@
     assert_that!(seen.borrow().len(), eq(2));
 }
 
+/// Guards against taking the end of a connection for the end of a stream without a length, if the
+/// stream ends inside an event or before its first one.
+#[actix_rt::test]
+async fn a_stream_without_a_length_that_is_broken_off_goes_on() {
+    for first in ["id: 1\nda", "", "id: 1\ndata: d1\n\nid: 2\nda"] {
+        let (address, seen) = target(move |n, _, mut stream| async move {
+            let text = if n == 0 {
+                first.to_owned()
+            } else {
+                format!("{}{}", event(1), event(2))
+            };
+            write(&mut stream, &format!("{OK}\r\n{text}")).await;
+        })
+        .await;
+        let entry = Entry::start(&[address, address]).await;
+        let mut caller = entry.request("/resumable/x", CLOSE).await;
+        let answer = read_all(&mut caller).await;
+        let ids: Vec<&str> = answer.lines().filter(|l| l.starts_with("id:")).collect();
+        assert_that!(ids, eq(&vec!["id: 1", "id: 2"]), "{first:?}");
+        assert_that!(answer, ends_with("0\r\n\r\n"));
+        assert_that!(seen.borrow().len(), eq(2));
+    }
+}
+
 /// Guards against running a non-resumable stream again, and against ending it as if it were
 /// complete.
 #[actix_rt::test]
