--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -516,7 +516,7 @@
         let mut response = Response::new(Body::whole(body));
         *response.status_mut() = status;
         *response.headers_mut() = self.router.protocol.caller_headers(&exchange.head.headers);
-        response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+        response.headers_mut().remove(CONTENT_LENGTH);
         let took = self.now().saturating_sub(self.arrived);
         info!(self.router.log, "target answered"; "req" => &*self.head.label,
             "status" => status.as_u16(), "first" => %address, "ms" => took.as_millis());
