Read the store's era from its answers and report a return from a copy

Cause: nothing showed an operator, or who reads the lines after an incident, that the store had been restored. Change: the client reads Store-Era of every answer, refusals included; a line, a counter and a gauge. What is followed does not change yet.

--- a/crates/coriandercove_router/src/metrics.rs
+++ b/crates/coriandercove_router/src/metrics.rs
@@ -46,6 +46,10 @@
     pub omitted_lines: Counter,
     /// Operator's version of the configuration in force.
     pub version: Gauge,
+    /// Times that the platform's store came back from an older copy.
+    pub store_restores: Counter,
+    /// Era that the platform's store names.
+    pub store_era: Gauge,
     /// Targets in the platform's list.
     pub targets: Gauge,
     /// Requests in flight, streams until their end included.
@@ -85,6 +89,8 @@
             cancelled: m.counter("cancelled", "Requests whose caller left"),
             omitted_lines: m.counter("omitted_log_lines", "Log lines left out"),
             version: m.gauge("configuration_version", "Version in force"),
+            store_restores: m.counter("store_restores", "Returns of the store from an older copy"),
+            store_era: m.gauge("store_era", "Era that the store names"),
             targets: m.gauge("targets", "Targets listed"),
             in_flight: m.gauge("requests_in_flight", "Requests in flight"),
             peers: m.gauge("peers", "Other entries heard of"),
--- a/crates/coriandercove_router/src/protocol.rs
+++ b/crates/coriandercove_router/src/protocol.rs
@@ -223,9 +223,15 @@
     },
 }
 
+/// Number that the platform's store raises each time it comes back from an older copy of itself.
+/// Revisions can be compared only within one era.
+pub type StoreEra = u64;
+
 /// Objects of a topic at one store revision.
 #[derive(Debug, Clone)]
 pub struct Batch {
+    /// Era of the revisions below; none if the answer names none that can be read.
+    pub era: Option<StoreEra>,
     /// Store revision that the objects reflect.
     pub revision: u64,
     /// Highest revision at which one of the objects changed; 0 if there is no object.
@@ -274,4 +280,8 @@
         after: u64,
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<Batch, DirectoryError>>;
+
+    /// Era that the store's latest readable answer named, refusals included; none if no answer has
+    /// named one.
+    fn last_era(&self) -> Option<StoreEra>;
 }
--- a/crates/coriandercove_router/src/revision_tracker.rs
+++ b/crates/coriandercove_router/src/revision_tracker.rs
@@ -7,7 +7,7 @@
 
 use coriandercove_base::{Time, data};
 
-use crate::protocol::Topic;
+use crate::protocol::{StoreEra, Topic};
 
 /// Time that this entry's own watch has to deliver a change that a peer already knows. The watches
 /// of different entries deliver one change within some hundred milliseconds of each other.
@@ -50,9 +50,23 @@
     }
 }
 
+/// What the era of an answer means for what is known of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EraChange {
+    /// The answer is of the era that is known.
+    None,
+    /// The store came back from an older copy: it names another era than the one held here.
+    Restored(StoreEra),
+    /// The answer is of an era that has ended.
+    Late,
+}
+
 /// Revisions that this entry and its peers know, by topic.
 #[derive(Debug, Default)]
 pub struct RevisionTracker {
+    /// Era that the store names, and the time at which it first did; none before the first answer
+    /// that names one.
+    era: Cell<Option<(StoreEra, Time)>>,
     /// Store revisions that this entry's state reflects.
     known: Cell<Revisions>,
     /// Revision of the last change that this entry received in each topic. Peers are sent these,
@@ -76,6 +90,31 @@
         }
     }
 
+    /// Era that the store names; none before the first answer that names one.
+    #[must_use]
+    pub fn era(&self) -> Option<StoreEra> {
+        self.era.get().map(|(era, _)| era)
+    }
+
+    /// Records the era of an answer to a call that began at `began`. An answer that names none
+    /// counts as one of the known era.
+    ///
+    /// The store gives out eras in ascending order, but its own word counts: a lower era in the
+    /// answer to a call that began after the higher one was seen is a further return from a copy.
+    pub fn record_era(&self, named: Option<StoreEra>, began: Time, now: Time) -> EraChange {
+        let change = match (self.era.get(), named) {
+            (_, None) => return EraChange::None,
+            (Some((known, _)), Some(era)) if era == known => return EraChange::None,
+            (Some((known, since)), Some(era)) if era < known && began < since => {
+                return EraChange::Late;
+            }
+            (Some((known, _)), Some(_)) => EraChange::Restored(known),
+            (None, Some(_)) => EraChange::None,
+        };
+        self.era.set(named.map(|era| (era, now)));
+        change
+    }
+
     /// Records an answer of the platform for a topic.
     pub fn record_answer(&self, topic: Topic, now: Time) {
         let mut answered = self.last_answers.get();
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -10,7 +10,8 @@
 use coriandercove_base::Time;
 
 use crate::fleet::Target;
-use crate::protocol::{Batch, Directory, DirectoryError, Item, Topic};
+use crate::protocol::{Batch, Directory, DirectoryError, Item, StoreEra, Topic};
+use crate::revision_tracker::EraChange;
 use crate::settings::LiveSettings;
 use crate::state::Router;
 
@@ -109,6 +110,12 @@
                 }
             }
         };
+        let named = match &result {
+            Ok(batch) => batch.era,
+            // Another call may have got an answer of an earlier era since.
+            Err(_) => self.directory.last_era().max(self.router.revisions.era()),
+        };
+        self.record_era(named, began);
         match result {
             Ok(batch) => {
                 // The duration of a watch that a change ended early does not show how fast the
@@ -145,6 +152,30 @@
         }
     }
 
+    /// Records the era that an answer names.
+    fn record_era(&self, named: Option<StoreEra>, began: Time) {
+        let router = &self.router;
+        let change = router.revisions.record_era(named, began, router.now());
+        if let Some(era) = router.revisions.era() {
+            router.metrics.store_era.set(era.cast_signed());
+        }
+        match change {
+            EraChange::None => {}
+            EraChange::Restored(before) => {
+                router.metrics.store_restores.inc();
+                let cfg = router.configuration();
+                warn!(router.log, "store came back from an older copy"; "era" => named,
+                    "era_before" => before, "topic" => self.topic.as_str(),
+                    "revision_before" => self.newest_revision,
+                    "version_in_force" => cfg.map(|cfg| cfg.version));
+            }
+            EraChange::Late => {
+                warn!(router.log, "answer of an earlier era"; "topic" => self.topic.as_str(),
+                    "era" => named, "known" => router.revisions.era());
+            }
+        }
+    }
+
     fn watch_wait(&self) -> Duration {
         let peers = self.router.load.borrow().peers();
         let multiple = (peers / PEERS_PER_WATCH_WAIT).clamp(1, MAX_WATCH_WAITS);
--- a/crates/coriandercove_router/tests/sync.rs
+++ b/crates/coriandercove_router/tests/sync.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use coriandercove_router::fleet::Target;
-use coriandercove_router::protocol::{Batch, Directory, DirectoryError, Item, Topic};
+use coriandercove_router::protocol::{Batch, Directory, DirectoryError, Item, StoreEra, Topic};
 use coriandercove_router::revision_tracker::Revisions;
 use coriandercove_router::routes::ConfigurationBuilder;
 use coriandercove_router::sync::follow;
@@ -50,6 +50,7 @@
         }))
     };
     Batch {
+        era: None,
         revision,
         last_change: revision,
         items: names.iter().map(target).collect(),
@@ -73,6 +74,7 @@
 fn batch(version: u64) -> Batch {
     let cfg = ConfigurationBuilder::new(version, version).build();
     Batch {
+        era: None,
         revision: version,
         last_change: version,
         items: vec![Item::Configuration(Rc::new(cfg))],
@@ -107,6 +109,7 @@
             match outcome {
                 Some(Watch::Fails(e)) => Err(e),
                 Some(Watch::Removes(name)) => Ok(Batch {
+                    era: None,
                     revision: self.version.get() + 1,
                     last_change: self.version.get() + 1,
                     items: vec![Item::Removed { name: name.into() }],
@@ -114,6 +117,7 @@
                 None => {
                     tokio::time::sleep(wait).await;
                     Ok(Batch {
+                        era: None,
                         revision: 0,
                         last_change: 0,
                         items: Vec::new(),
@@ -122,6 +126,10 @@
             }
         })
     }
+
+    fn last_era(&self) -> Option<StoreEra> {
+        None
+    }
 }
 
 async fn start(topic: Topic, watches: Vec<Watch>) -> (Entry, Rc<Script>) {
