Compare revisions of the store within one era only

Cause: a revision was taken as something that only rises. After the store had come back from an older copy, answers below the highest known revision were dropped as stale, and the next version was given the revision of a lost one, which was 'in force already'. Class: a counter of another system used as an order across its lives. Change: revisions belong to the era that each answer names. With a new era, all topics are listed again and nothing counts that was inferred from revisions; peers exchange the era too, so that an entry that cannot reach the store hears of it. An answer of an ended era is recognised by its call. The version alone decides which configuration is in force. The search for a better layout is repeated for a configuration that reuses a revision. Ruled out: accepting lower revisions at all times (a late answer would restore an old state).

--- a/crates/coriandercove_router/src/peers.rs
+++ b/crates/coriandercove_router/src/peers.rs
@@ -14,8 +14,9 @@
 use crate::limits::LimitsReport;
 use crate::load::{DIGEST_LIFETIME, Digest};
 use crate::placer::Placement;
+use crate::protocol::StoreEra;
 use crate::quarantine::QuarantineReport;
-use crate::revision_tracker::Revisions;
+use crate::revision_tracker::{Revisions, StorePosition};
 use crate::state::Router;
 use crate::usage::UsageReport;
 
@@ -60,6 +61,16 @@
     usage: UsageReport,
     quarantine: QuarantineReport,
     limits: LimitsReport,
+    store: StoreReport,
+}
+
+data! {
+    /// What an entry knows of the platform's store, beside the revisions.
+    #[derive(Copy, Eq, Default)]
+    struct StoreReport {
+        /// Era of the revisions; none if the store names none.
+        era: Option<StoreEra>,
+    }
 }
 
 /// Encodes a datagram and the reports that follow it.
@@ -67,7 +78,8 @@
     let bytes = postcard::to_allocvec(datagram)?;
     let bytes = postcard::to_extend(&reports.usage, bytes)?;
     let bytes = postcard::to_extend(&reports.quarantine, bytes)?;
-    postcard::to_extend(&reports.limits, bytes)
+    let bytes = postcard::to_extend(&reports.limits, bytes)?;
+    postcard::to_extend(&reports.store, bytes)
 }
 
 /// Decodes a report that a datagram of an earlier version lacks, and returns what follows it.
@@ -85,11 +97,13 @@
     let (datagram, rest) = postcard::take_from_bytes(bytes)?;
     let (usage, rest) = take_report(rest)?;
     let (quarantine, rest) = take_report(rest)?;
-    let (limits, _) = take_report(rest)?;
+    let (limits, rest) = take_report(rest)?;
+    let (store, _) = take_report(rest)?;
     let reports = Reports {
         usage,
         quarantine,
         limits,
+        store,
     };
     Ok((datagram, reports))
 }
@@ -196,6 +210,7 @@
             .borrow_mut()
             .retain(|_, peer| now.saturating_sub(peer.last_heard) < ADDRESS_LIFETIME);
         let to: Vec<SocketAddr> = self.addresses.borrow().keys().copied().collect();
+        let position = self.router.revisions.position();
         let datagram = Datagram {
             node: self.router.settings.node.clone(),
             number: self.number.get(),
@@ -203,13 +218,14 @@
             is_ready: self.router.is_ready(),
             digest,
             placements: self.router.placements.borrow().for_peers(),
-            revisions: self.router.revisions.last_changes(),
+            revisions: position.revisions,
             peers: to.clone(),
         };
         let reports = Reports {
             usage: self.router.usage.borrow().report(now),
             quarantine: self.router.quarantine.borrow().report(now),
             limits: self.router.limits.borrow().report(now),
+            store: StoreReport { era: position.era },
         };
         let bytes = match encode(&datagram, &reports) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => bytes,
@@ -272,7 +288,10 @@
             is_ready: datagram.is_ready,
         };
         self.peers.borrow_mut().insert(datagram.node.clone(), peer);
-        self.router.revisions.on_peer_revisions(datagram.revisions);
+        self.router.revisions.on_peer_position(StorePosition {
+            era: reports.store.era,
+            revisions: datagram.revisions,
+        });
         self.learn_addresses(&datagram.peers, from, now);
         self.learn_placements(&datagram.placements, now);
         self.router
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -17,7 +17,7 @@
 
 use coriandercove_base::hash::hash64;
 use coriandercove_base::timer::{Subscription, TimerService};
-use coriandercove_base::{NodeId, TargetId, Time};
+use coriandercove_base::{ConfigVersion, NodeId, TargetId, Time};
 
 use crate::fleet::{LayerRange, Target};
 use crate::layout::{self, Assignment, Holder};
@@ -62,6 +62,9 @@
 /// Time after the last move at which another one may be made although the fleet keeps changing.
 const MOVE_PAUSE: Duration = Duration::from_secs(3);
 
+/// Version of a configuration, and the store revision that it was read at.
+type ConfigurationKey = (ConfigVersion, u64);
+
 /// Reads the engines' reports, and gives placement orders while this entry is the leader.
 pub struct Placer {
     router: Rc<Router>,
@@ -69,9 +72,9 @@
     last_move: Cell<Time>,
     /// Number of times that the reports were due.
     report_rounds: Cell<u32>,
-    /// Revision of the configuration and the targets for which no move was worth its cost.
+    /// Configuration and targets for which no move was worth its cost.
     /// Comparing all moves takes milliseconds, and most checks find the fleet unchanged.
-    last_balanced: RefCell<Option<(u64, Vec<Holder>)>>,
+    last_balanced: RefCell<Option<(ConfigurationKey, Vec<Holder>)>>,
 }
 
 impl Placer {
@@ -115,11 +118,11 @@
             return;
         };
         for service in cfg.services().iter().filter(|s| s.engine.is_some()) {
-            self.place_service(service, cfg.revision, now);
+            self.place_service(service, (cfg.version, cfg.revision), now);
         }
     }
 
-    fn place_service(self: &Rc<Self>, service: &Arc<Service>, revision: u64, now: Time) {
+    fn place_service(self: &Rc<Self>, service: &Arc<Service>, cfg: ConfigurationKey, now: Time) {
         let Some(engine) = &service.engine else {
             return;
         };
@@ -159,7 +162,7 @@
             if assignments.is_empty()
                 && is_idle
                 && self.may_move(now)
-                && let Some(assignment) = self.find_move(engine, revision, &holders)
+                && let Some(assignment) = self.find_move(engine, cfg, &holders)
             {
                 self.last_move.set(now);
                 assignments.push(assignment);
@@ -178,19 +181,19 @@
     fn find_move(
         &self,
         engine: &EngineModel,
-        revision: u64,
+        cfg: ConfigurationKey,
         holders: &[Holder],
     ) -> Option<Assignment> {
         let is_known = self
             .last_balanced
             .borrow()
             .as_ref()
-            .is_some_and(|(r, known)| *r == revision && known == holders);
+            .is_some_and(|(c, known)| *c == cfg && known == holders);
         if is_known {
             return None;
         }
         let found = layout::rebalance(engine, holders);
-        let balanced = found.is_none().then(|| (revision, holders.to_vec()));
+        let balanced = found.is_none().then(|| (cfg, holders.to_vec()));
         *self.last_balanced.borrow_mut() = balanced;
         found
     }
--- a/crates/coriandercove_router/src/revision_tracker.rs
+++ b/crates/coriandercove_router/src/revision_tracker.rs
@@ -1,6 +1,11 @@
-//! Tracks up to which store revision this entry and its peers know the platform's objects.
+//! Tracks the store's era, and up to which revision of it this entry and its peers know the
+//! platform's objects.
+//!
+//! A store that comes back from an older copy begins a new era and gives out revisions again, so that
+//! revisions of different eras are never compared.
 
 use std::cell::Cell;
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use tokio::sync::Notify;
@@ -15,7 +20,7 @@
 
 data! {
     /// A value for each topic that entries follow on the platform.
-    #[derive(Copy, Default)]
+    #[derive(Copy, Eq, Default)]
     pub struct PerTopic<T> {
         /// Value for the configuration.
         pub configuration: T,
@@ -43,6 +48,17 @@
     }
 }
 
+data! {
+    /// The last change that an entry knows in each topic.
+    #[derive(Copy, Eq, Default)]
+    pub struct StorePosition {
+        /// Era of the revisions; none if the store names none.
+        pub era: Option<StoreEra>,
+        /// Revision of the last change, by topic.
+        pub revisions: Revisions,
+    }
+}
+
 impl Revisions {
     fn raise(&mut self, topic: Topic, revision: u64) {
         let value = self.of_mut(topic);
@@ -72,8 +88,10 @@
     /// Revision of the last change that this entry received in each topic. Peers are sent these,
     /// because the store's revision also rises with changes in other topics.
     last_changes: Cell<Revisions>,
-    /// Highest revision of a change that any peer reported.
-    peers: Cell<Revisions>,
+    /// Latest era that any peer reported, and the highest revision of a change in it.
+    peers: Cell<StorePosition>,
+    /// Latest era of peers that the store's own answer did not confirm.
+    refuted_era: Cell<Option<StoreEra>>,
     /// Time of the platform's last answer; [`Time::ZERO`] before the first one.
     last_answers: Cell<PerTopic<Time>>,
     changed: Notify,
@@ -112,9 +130,23 @@
             (None, Some(_)) => EraChange::None,
         };
         self.era.set(named.map(|era| (era, now)));
+        if change != EraChange::None {
+            self.known.take();
+            self.last_changes.take();
+            self.changed.notify_waiters();
+        }
         change
     }
 
+    /// Records that a list was answered: what peers report of a later era than the store names is
+    /// no reason to list again.
+    pub fn record_list(&self) {
+        let (own, peers) = (self.era(), self.peers.get().era);
+        if peers > own {
+            self.refuted_era.set(peers.max(self.refuted_era.get()));
+        }
+    }
+
     /// Records an answer of the platform for a topic.
     pub fn record_answer(&self, topic: Topic, now: Time) {
         let mut answered = self.last_answers.get();
@@ -128,33 +160,60 @@
         self.last_answers.get().of(topic)
     }
 
-    /// Revision of the last change that this entry received, by topic.
+    /// The last change that this entry received in each topic.
     #[must_use]
-    pub fn last_changes(&self) -> Revisions {
-        self.last_changes.get()
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era(),
+            revisions: self.last_changes.get(),
+        }
     }
 
-    /// Merges the revisions that a peer reported and wakes the followers if one rose.
-    pub fn on_peer_revisions(&self, revisions: Revisions) {
-        let mut peers = self.peers.get();
-        for topic in [Topic::Configuration, Topic::Targets] {
-            peers.raise(topic, revisions.of(topic));
+    /// Merges what a peer reported and wakes the followers if it is ahead. An entry that cannot
+    /// reach the store learns of a new era in this way.
+    pub fn on_peer_position(&self, position: StorePosition) {
+        if self.is_refuted(position.era) {
+            return;
+        }
+        let before = self.peers.get();
+        let mut peers = position;
+        match position.era.cmp(&before.era) {
+            Ordering::Less if !self.is_refuted(before.era) => return,
+            Ordering::Equal => {
+                for topic in [Topic::Configuration, Topic::Targets] {
+                    peers.revisions.raise(topic, before.revisions.of(topic));
+                }
+            }
+            Ordering::Less | Ordering::Greater => {}
         }
-        if peers != self.peers.get() {
+        if peers != before {
             self.peers.set(peers);
             self.changed.notify_waiters();
         }
     }
 
+    /// Whether the store itself names an earlier era than this one, which a peer reported.
+    fn is_refuted(&self, era: Option<StoreEra>) -> bool {
+        era > self.era() && era <= self.refuted_era.get()
+    }
+
     fn is_peer_ahead(&self, topic: Topic) -> bool {
-        self.peers.get().of(topic) > self.known.get().of(topic)
+        let peers = self.peers.get();
+        match peers.era.cmp(&self.era()) {
+            Ordering::Less => false,
+            Ordering::Equal => peers.revisions.of(topic) > self.known.get().of(topic),
+            Ordering::Greater => !self.is_refuted(peers.era),
+        }
     }
 
-    /// Returns once a peer reports a change that this entry lacks and `WATCH_TOLERANCE` has
-    /// passed since it was noticed.
-    pub async fn wait_until_behind(&self, topic: Topic) {
+    /// Returns once the store names another era than `era`, or a peer reports a change that this
+    /// entry lacks and `WATCH_TOLERANCE` has passed since it was noticed.
+    pub async fn wait_until_behind(&self, topic: Topic, era: Option<StoreEra>) {
         loop {
             let changed = self.changed.notified();
+            if self.era() != era {
+                return;
+            }
             if self.is_peer_ahead(topic) {
                 tokio::time::sleep(WATCH_TOLERANCE).await;
                 return;
@@ -163,3 +222,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -143,12 +143,22 @@
         self.configuration.borrow().clone()
     }
 
-    /// Puts a configuration in force, unless the one in force has the same or a higher store
-    /// revision.
+    /// Puts a configuration in force, unless the one in force is of a higher version, or of the same
+    /// version at the same or a higher store revision.
+    ///
+    /// The version decides, as the revisions of a store that came back from an older copy are given
+    /// out again, and the copy may hold an older version.
     pub fn apply(&self, new: Rc<Configuration>) {
-        let old = self.configuration();
-        if old.is_some_and(|old| old.revision >= new.revision) {
-            return;
+        if let Some(old) = self.configuration() {
+            if old.version > new.version {
+                info!(self.log, "older configuration, the one in force stays";
+                    "version" => new.version, "revision" => new.revision,
+                    "in_force" => old.version);
+                return;
+            }
+            if old.version == new.version && old.revision >= new.revision {
+                return;
+            }
         }
         info!(self.log, "configuration in force"; "version" => new.version,
             "revision" => new.revision, "routes" => new.route_count());
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -56,6 +56,7 @@
         router,
         directory,
         topic,
+        era: None,
         revision: None,
         newest_revision: 0,
         failed_since: None,
@@ -72,13 +73,16 @@
     router: Rc<Router>,
     directory: Rc<dyn Directory>,
     topic: Topic,
+    /// Era of the revisions below.
+    era: Option<StoreEra>,
     /// Store revision up to which changes are known; none if the next call must be a list.
     revision: Option<u64>,
-    /// Highest store revision that was ever applied.
+    /// Highest store revision that was applied in this era.
     newest_revision: u64,
     /// Time of the first failed call since the last answer.
     failed_since: Option<Time>,
-    /// End of the last outage of at least [`LAPSE_OUTAGE`].
+    /// End of the last outage of at least [`LAPSE_OUTAGE`], or time of the store's last return from
+    /// an older copy.
     reconnected_at: Option<Time>,
     /// Failed calls since the last answer.
     failures: u32,
@@ -89,6 +93,7 @@
 
 impl Follower {
     async fn step(&mut self) {
+        self.follow_era();
         let known = self.revision;
         let began = self.router.now();
         let wait = if self.lapsed.is_empty() {
@@ -101,7 +106,10 @@
             Some(after) => {
                 tokio::select! {
                     result = self.directory.changes(self.topic, after, wait) => result,
-                    () = self.router.revisions.wait_until_behind(self.topic) => {
+                    () = self.router.revisions.wait_until_behind(self.topic, self.era) => {
+                        if self.follow_era() {
+                            return;
+                        }
                         info!(self.router.log, "a peer is ahead, listing again";
                             "topic" => self.topic.as_str(), "revision" => after);
                         self.revision = None;
@@ -115,8 +123,14 @@
             // Another call may have got an answer of an earlier era since.
             Err(_) => self.directory.last_era().max(self.router.revisions.era()),
         };
-        self.record_era(named, began);
+        let is_late = self.record_era(named, began);
+        let is_restored = self.follow_era();
         match result {
+            // A list shows what the copy holds; the answer to a watch does not.
+            Ok(_) if is_late || (is_restored && known.is_some()) => {
+                self.on_answer();
+                self.revision = None;
+            }
             Ok(batch) => {
                 // The duration of a watch that a change ended early does not show how fast the
                 // platform is.
@@ -152,8 +166,8 @@
         }
     }
 
-    /// Records the era that an answer names.
-    fn record_era(&self, named: Option<StoreEra>, began: Time) {
+    /// Records the era that an answer names. Returns whether the answer is of an era that has ended.
+    fn record_era(&self, named: Option<StoreEra>, began: Time) -> bool {
         let router = &self.router;
         let change = router.revisions.record_era(named, began, router.now());
         if let Some(era) = router.revisions.era() {
@@ -174,6 +188,25 @@
                     "era" => named, "known" => router.revisions.era());
             }
         }
+        change == EraChange::Late
+    }
+
+    /// Takes over the store's era, which this or another topic's answer named. Returns whether it
+    /// has changed: nothing that was inferred from revisions counts then, and the copy lacks the
+    /// targets that registered after it was made.
+    fn follow_era(&mut self) -> bool {
+        let era = self.router.revisions.era();
+        if era == self.era {
+            return false;
+        }
+        let before = std::mem::replace(&mut self.era, era);
+        if before.is_none() {
+            return false;
+        }
+        self.revision = None;
+        self.newest_revision = 0;
+        self.reconnected_at = Some(self.router.now());
+        true
     }
 
     fn watch_wait(&self) -> Duration {
@@ -225,8 +258,11 @@
         self.router
             .revisions
             .record_revision(self.topic, batch.revision, batch.last_change);
-        if is_whole && self.topic == Topic::Targets {
-            self.remove_missing(&batch);
+        if is_whole {
+            self.router.revisions.record_list();
+            if self.topic == Topic::Targets {
+                self.remove_missing(&batch);
+            }
         }
         for item in batch.items {
             self.apply_item(item);
--- a/crates/coriandercove_router/tests/sync.rs
+++ b/crates/coriandercove_router/tests/sync.rs
@@ -14,7 +14,7 @@
 
 use coriandercove_router::fleet::Target;
 use coriandercove_router::protocol::{Batch, Directory, DirectoryError, Item, StoreEra, Topic};
-use coriandercove_router::revision_tracker::Revisions;
+use coriandercove_router::revision_tracker::{Revisions, StorePosition};
 use coriandercove_router::routes::ConfigurationBuilder;
 use coriandercove_router::sync::follow;
 use futures_util::future::LocalBoxFuture;
@@ -175,9 +175,12 @@
     script.version.set(9);
     tokio::time::sleep(Duration::from_millis(600)).await;
     assert_that!(version(&entry), eq(5));
-    entry.router.revisions.on_peer_revisions(Revisions {
-        configuration: 9,
-        targets: 0,
+    entry.router.revisions.on_peer_position(StorePosition {
+        era: None,
+        revisions: Revisions {
+            configuration: 9,
+            targets: 0,
+        },
     });
     tokio::time::sleep(Duration::from_millis(1200)).await;
     assert_that!(version(&entry), eq(9));
