Judge the targets of an older copy by what is known of them

What callers could see: work sent to a target that has left or is leaving, or to its address after another service took it over; a target that had just registered dropped for as long as it needs to register again. Cause: a list counted as the newest state of all targets. After the store came back from an older copy, its list is older than what entries know. Class: a source that is taken as current because it answered last. Change: for 6 s after a return from a copy, a list does not bring back an incarnation that has left, one older than the known one, or one whose address a later target holds; what it lacks, or what is removed, has 2 s to register again. Then the list is read once more. The end that an incarnation has announced is final at all times.

--- a/crates/coriandercove_router/src/lib.rs
+++ b/crates/coriandercove_router/src/lib.rs
@@ -12,7 +12,8 @@
 //! accounts, [`layout`] divides the model's layers among the targets, [`refusal`] estimates when a
 //! refused caller should retry, [`attempt`] decides what follows a failed attempt, [`limits`] keeps to
 //! what targets in need take, [`budget`] limits
-//! repeats, [`exclusions`] and [`liveness`] track failing and silent targets, and [`quarantine`] keeps
+//! repeats, [`exclusions`] and [`liveness`] track failing and silent targets, [`departures`] tells what
+//! an older copy of the platform's list says of targets that have left, and [`quarantine`] keeps
 //! prompts from targets that crash on a part of them.
 //! Time, randomness and observations are passed in.
 //!
@@ -24,6 +25,7 @@
 
 pub mod attempt;
 pub mod budget;
+pub mod departures;
 pub mod exclusions;
 pub mod fair_share;
 pub mod fleet;
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -14,6 +14,7 @@
 use coriandercove_base::{Clock, MonotonicClock, SortedMap, Time, ZoneId};
 
 use crate::budget::RetryBudget;
+use crate::departures::Departures;
 use crate::exclusions::Exclusions;
 use crate::fair_share::{Rank, ShareLimiter, Unseen, rank};
 use crate::fleet::{Fleet, LayerRange, Target};
@@ -51,6 +52,8 @@
     configuration: RefCell<Option<Rc<Configuration>>>,
     /// Targets that the platform lists.
     pub fleet: RefCell<Fleet>,
+    /// Targets that left lately.
+    pub departures: RefCell<Departures>,
     /// Work in flight at each target, of all entries.
     pub load: RefCell<Load>,
     /// Model requests in flight by client account, of all entries.
@@ -103,6 +106,7 @@
             clock: MonotonicClock::default(),
             configuration: RefCell::new(None),
             fleet: RefCell::default(),
+            departures: RefCell::default(),
             load: RefCell::default(),
             usage: RefCell::default(),
             share_limiter: RefCell::default(),
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -9,6 +9,7 @@
 
 use coriandercove_base::Time;
 
+use crate::departures::{Listing, displaced};
 use crate::fleet::Target;
 use crate::protocol::{Batch, Directory, DirectoryError, Item, StoreEra, Topic};
 use crate::revision_tracker::EraChange;
@@ -47,6 +48,10 @@
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
 /// Time that a watch waits for a change while some targets may still register again.
 const LAPSE_WATCH_WAIT: Duration = Duration::from_millis(500);
+/// Time after the store's return from an older copy within which its list may still hold targets of
+/// the copy that are gone. The store removes them after three missed heartbeats, one of which takes
+/// about 1.2 s.
+const COPY_GRACE: Duration = Duration::from_secs(6);
 /// Length of an outage after which registrations may have lapsed.
 const LAPSE_OUTAGE: Duration = Duration::from_secs(1);
 
@@ -61,6 +66,7 @@
         newest_revision: 0,
         failed_since: None,
         reconnected_at: None,
+        copy_until: None,
         failures: 0,
         lapsed: Vec::new(),
     };
@@ -84,6 +90,9 @@
     /// End of the last outage of at least [`LAPSE_OUTAGE`], or time of the store's last return from
     /// an older copy.
     reconnected_at: Option<Time>,
+    /// Time until which a list may be older than what is known; none if the store has not come back
+    /// from a copy lately.
+    copy_until: Option<Time>,
     /// Failed calls since the last answer.
     failures: u32,
     /// Targets that were missing after an outage, with the time at which they are removed unless
@@ -94,10 +103,12 @@
 impl Follower {
     async fn step(&mut self) {
         self.follow_era();
-        let known = self.revision;
         let began = self.router.now();
+        self.end_copy(began);
+        let known = self.revision;
         let wait = if self.lapsed.is_empty() {
-            self.watch_wait()
+            let left = self.copy_until.map(|at| at.saturating_sub(began));
+            left.map_or(self.watch_wait(), |left| left.min(self.watch_wait()))
         } else {
             LAPSE_WATCH_WAIT
         };
@@ -205,10 +216,27 @@
         }
         self.revision = None;
         self.newest_revision = 0;
-        self.reconnected_at = Some(self.router.now());
+        let now = self.router.now();
+        self.reconnected_at = Some(now);
+        self.copy_until = (self.topic == Topic::Targets).then(|| now + COPY_GRACE);
         true
     }
 
+    /// Lists once more when nothing of the copy is left, as listings of it may have been ignored.
+    fn end_copy(&mut self, now: Time) {
+        if self.copy_until.is_some_and(|until| until <= now) {
+            self.copy_until = None;
+            self.revision = None;
+        }
+    }
+
+    /// Whether the registration of a target may have lapsed while the store was away, so that it has
+    /// yet to register again.
+    fn may_have_lapsed(&self, id: &str) -> bool {
+        let fleet = self.router.fleet.borrow();
+        self.copy_until.is_some() && fleet.get(id).is_some_and(|t| !t.is_draining)
+    }
+
     fn watch_wait(&self) -> Duration {
         let peers = self.router.load.borrow().peers();
         let multiple = (peers / PEERS_PER_WATCH_WAIT).clamp(1, MAX_WATCH_WAITS);
@@ -264,8 +292,10 @@
                 self.remove_missing(&batch);
             }
         }
+        // A change that a watch reports was made after the copy was in use.
+        let is_copy = is_whole && self.copy_until.is_some();
         for item in batch.items {
-            self.apply_item(item);
+            self.apply_item(item, is_copy);
         }
         self.revision = Some(batch.revision);
         let targets = self.router.fleet.borrow().len();
@@ -275,13 +305,10 @@
             .set(targets.cast_signed() as i64);
     }
 
-    fn apply_item(&mut self, item: Item) {
+    fn apply_item(&mut self, item: Item, is_copy: bool) {
         match item {
             Item::Configuration(cfg) => self.router.apply(cfg),
-            Item::Target(target) => {
-                self.lapsed.retain(|(name, _)| *name != target.id);
-                self.insert(&target);
-            }
+            Item::Target(target) => self.insert(target, is_copy),
             Item::Unreadable { name, problem } => {
                 self.router.metrics.unreadable(self.topic.as_str());
                 warn!(self.router.log, "object not readable"; "topic" => self.topic.as_str(),
@@ -290,6 +317,7 @@
                     self.remove_now(&name);
                 }
             }
+            Item::Removed { name } if self.may_have_lapsed(&name) => self.remove_or_delay(&name),
             // The removal happened after the outage, so that the registration did not lapse during
             // it.
             Item::Removed { name } if self.topic == Topic::Targets => self.remove_now(&name),
@@ -300,8 +328,27 @@
         }
     }
 
-    fn insert(&mut self, target: &Arc<Target>) {
-        let old = self.router.fleet.borrow_mut().insert(Arc::clone(target));
+    fn insert(&mut self, mut target: Arc<Target>, is_copy: bool) {
+        let listing = {
+            let (departures, fleet) = (&self.router.departures, self.router.fleet.borrow());
+            departures.borrow().judge(&target, &fleet, is_copy)
+        };
+        match listing {
+            Listing::Outdated => {
+                info!(self.router.log, "listing of the copy ignored"; "id" => &*target.id,
+                    "address" => %target.address, "started_ms" => target.started_ms);
+                return;
+            }
+            Listing::Leaving => Arc::make_mut(&mut target).is_draining = true,
+            Listing::Current => {}
+        }
+        self.lapsed.retain(|(name, _)| *name != target.id);
+        self.router.departures.borrow_mut().on_listed(&target.id);
+        let displaced = displaced(&self.router.fleet.borrow(), &target);
+        for id in displaced {
+            self.remove_now(&id);
+        }
+        let old = self.router.fleet.borrow_mut().insert(Arc::clone(&target));
         let is_news = old.as_ref().is_none_or(|o| {
             o.is_draining != target.is_draining
                 || o.started_ms != target.started_ms
@@ -321,7 +368,7 @@
             self.router.limits.borrow_mut().on_restarted(target.address);
         }
         let now = self.router.now();
-        self.router.placements.borrow_mut().on_listed(target, now);
+        self.router.placements.borrow_mut().on_listed(&target, now);
     }
 
     fn remove_missing(&mut self, batch: &Batch) {
@@ -366,7 +413,10 @@
 
     fn remove_now(&mut self, id: &str) {
         self.lapsed.retain(|(name, _)| **name != *id);
-        if self.router.fleet.borrow_mut().remove(id).is_some() {
+        let removed = self.router.fleet.borrow_mut().remove(id);
+        if let Some(target) = removed {
+            let now = self.router.now();
+            self.router.departures.borrow_mut().on_left(&target, now);
             info!(self.router.log, "target gone"; "id" => id);
         }
     }
