Pass the newest configuration on to entries that the store does not give it to

What callers could see: an entry that starts just after the store came back from an older copy serves by the version of the copy, or refuses everything while the store is away, although its peers know the newest version. Cause: the store was the only source of the configuration. Class: a single source for what several processes hold. Change: datagrams carry the version in force. An entry that is behind for longer than the store needs to deliver a version, has just started or knows none, asks a peer on the TCP port of its datagrams, and checks the answer as strictly as the store's. One question at a time, each to another peer.

--- a/crates/coriandercove_router/src/lib.rs
+++ b/crates/coriandercove_router/src/lib.rs
@@ -19,12 +19,13 @@
 //!
 //! The runtime around them serves callers ([`server`], [`proxy`]), sends attempts ([`upstream`]),
 //! forwards streams ([`relay`]), follows the configuration and the targets on the platform
-//! ([`sync`]), exchanges load with the other entries ([`peers`]) and orders engines to load layers
+//! ([`sync`], [`configuration_exchange`]), exchanges load with the other entries ([`peers`]) and orders engines to load layers
 //! ([`placer`]). Headers, bodies and platform calls are behind the traits of [`protocol`], which a
 //! platform adapter implements.
 
 pub mod attempt;
 pub mod budget;
+pub mod configuration_exchange;
 pub mod departures;
 pub mod exclusions;
 pub mod fair_share;
@@ -34,6 +35,7 @@
 pub mod liveness;
 pub mod load;
 pub mod metrics;
+pub mod newest_configuration;
 pub mod path;
 pub mod peers;
 pub mod placer;
--- a/crates/coriandercove_router/src/metrics.rs
+++ b/crates/coriandercove_router/src/metrics.rs
@@ -46,6 +46,8 @@
     pub omitted_lines: Counter,
     /// Operator's version of the configuration in force.
     pub version: Gauge,
+    /// Configurations that a peer passed on.
+    pub peer_configurations: Counter,
     /// Times that the platform's store came back from an older copy.
     pub store_restores: Counter,
     /// Era that the platform's store names.
@@ -89,6 +91,10 @@
             cancelled: m.counter("cancelled", "Requests whose caller left"),
             omitted_lines: m.counter("omitted_log_lines", "Log lines left out"),
             version: m.gauge("configuration_version", "Version in force"),
+            peer_configurations: m.counter(
+                "peer_configurations",
+                "Configurations that a peer passed on",
+            ),
             store_restores: m.counter("store_restores", "Returns of the store from an older copy"),
             store_era: m.gauge("store_era", "Era that the store names"),
             targets: m.gauge("targets", "Targets listed"),
--- a/crates/coriandercove_router/src/peers.rs
+++ b/crates/coriandercove_router/src/peers.rs
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 
 use coriandercove_base::timer::{Subscription, TimerService};
-use coriandercove_base::{NodeId, SortedMap, Time, data};
+use coriandercove_base::{ConfigVersion, NodeId, SortedMap, Time, data};
 
 use crate::limits::LimitsReport;
 use crate::load::{DIGEST_LIFETIME, Digest};
@@ -70,6 +70,8 @@
     struct StoreReport {
         /// Era of the revisions; none if the store names none.
         era: Option<StoreEra>,
+        /// Version of the configuration in force; none if the entry has none.
+        version: Option<ConfigVersion>,
     }
 }
 
@@ -225,7 +227,10 @@
             usage: self.router.usage.borrow().report(now),
             quarantine: self.router.quarantine.borrow().report(now),
             limits: self.router.limits.borrow().report(now),
-            store: StoreReport { era: position.era },
+            store: StoreReport {
+                era: position.era,
+                version: self.router.configuration().map(|cfg| cfg.version),
+            },
         };
         let bytes = match encode(&datagram, &reports) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => bytes,
@@ -292,6 +297,10 @@
             era: reports.store.era,
             revisions: datagram.revisions,
         });
+        if let Some(version) = reports.store.version {
+            let mut newest = self.router.newest_configuration.borrow_mut();
+            newest.on_report(from, version, now);
+        }
         self.learn_addresses(&datagram.peers, from, now);
         self.learn_placements(&datagram.placements, now);
         self.router
--- a/crates/coriandercove_router/src/peers/tests.rs
+++ b/crates/coriandercove_router/src/peers/tests.rs
@@ -49,7 +49,10 @@
             limits: Vec::new(),
             demand: 5,
         },
-        store: StoreReport { era: Some(2) },
+        store: StoreReport {
+            era: Some(2),
+            version: Some(4),
+        },
     };
     let with = encode(&datagram(), &reports).unwrap();
     expect_that!(decode(&with).unwrap().1, eq(&reports));
--- a/crates/coriandercove_router/src/process.rs
+++ b/crates/coriandercove_router/src/process.rs
@@ -13,6 +13,7 @@
 use coriandercove_base::telemetry::lines::LogWriter;
 use coriandercove_base::timer::TimerService;
 
+use crate::configuration_exchange::ConfigurationExchange;
 use crate::peers::Peers;
 use crate::placer::Placer;
 use crate::protocol::{Directory, Protocol, Topic};
@@ -91,6 +92,8 @@
         purpose: "peers",
         address,
     })?;
+    // The datagrams of peers and their questions have the same port.
+    let questions = listen("peers", address).await?;
     let mut term = on_signal(SignalKind::terminate())?;
     let mut interrupt = on_signal(SignalKind::interrupt())?;
     let mut hangup = on_signal(SignalKind::hangup())?;
@@ -102,6 +105,12 @@
     for topic in [Topic::Configuration, Topic::Targets] {
         actix_rt::spawn(follow(Rc::clone(&router), Rc::clone(&directory), topic));
     }
+    let _exchanging = ConfigurationExchange::start(
+        Rc::clone(&router),
+        Rc::clone(&directory),
+        questions,
+        &timers,
+    );
     let (peers, _sending) = Peers::start(Rc::clone(&router), socket, &timers);
     let _judging = VerdictSync::start(Rc::clone(&router), Rc::clone(&peers), verdicts, &timers);
     let _placing = Placer::start(Rc::clone(&router), peers, &timers);
--- a/crates/coriandercove_router/src/protocol.rs
+++ b/crates/coriandercove_router/src/protocol.rs
@@ -281,6 +281,12 @@
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<Batch, DirectoryError>>;
 
+    /// Decodes a configuration that a peer passed on, as strictly as one that the store holds.
+    ///
+    /// # Errors
+    /// [`Malformed`] names the field that cannot be decoded.
+    fn decode_configuration(&self, encoded: &[u8]) -> Result<Configuration, Malformed>;
+
     /// Era that the store's latest readable answer named, refusals included; none if no answer has
     /// named one.
     fn last_era(&self) -> Option<StoreEra>;
--- a/crates/coriandercove_router/src/routes.rs
+++ b/crates/coriandercove_router/src/routes.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use coriandercove_base::{AccountId, ConfigVersion, ZoneId};
 
 /// Name of a service; unique within a configuration.
@@ -170,8 +172,10 @@
 pub struct Configuration {
     /// Version that the operator assigned.
     pub version: ConfigVersion,
-    /// Store revision of the object that the configuration was read from.
+    /// Store revision of the object that the configuration was read from; 0 if it came from a peer.
     pub revision: u64,
+    /// The configuration as the platform adapter decodes it, for other entries.
+    pub encoded: Bytes,
     /// Routes, sorted by host, then by prefix with the longest first.
     routes: Vec<Arc<Route>>,
     /// Services, sorted by name.
@@ -189,6 +193,7 @@
 pub struct ConfigurationBuilder {
     version: ConfigVersion,
     revision: u64,
+    encoded: Bytes,
     routes: Vec<Arc<Route>>,
     services: Vec<Arc<Service>>,
     limits: Option<CallerLimits>,
@@ -215,6 +220,11 @@
         }
     }
 
+    /// Sets the encoded form that other entries are given.
+    pub fn encoded(&mut self, encoded: Bytes) {
+        self.encoded = encoded;
+    }
+
     /// Adds a route.
     pub fn route(&mut self, route: Route) {
         self.routes.push(Arc::new(route));
@@ -250,6 +260,7 @@
         Configuration {
             version: self.version,
             revision: self.revision,
+            encoded: self.encoded,
             routes: self.routes,
             services: self.services,
             limits: self.limits.unwrap_or(DEFAULT_LIMITS),
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -23,6 +23,7 @@
 use crate::liveness::Liveness;
 use crate::load::{Load, Work, ZonePair, zone_pair};
 use crate::metrics::{RouterMetrics, TargetGauges};
+use crate::newest_configuration::NewestConfiguration;
 use crate::path::{
     Bottleneck, Candidate, Demand, Hop, NoPath, Path, SearchContext, choose, choose_after,
     find_bottleneck,
@@ -50,6 +51,8 @@
     pub metrics: RouterMetrics,
     clock: MonotonicClock,
     configuration: RefCell<Option<Rc<Configuration>>>,
+    /// Newest version of the configuration that peers have in force.
+    pub newest_configuration: RefCell<NewestConfiguration>,
     /// Targets that the platform lists.
     pub fleet: RefCell<Fleet>,
     /// Targets that left lately.
@@ -105,6 +108,7 @@
             metrics: RouterMetrics::default(),
             clock: MonotonicClock::default(),
             configuration: RefCell::new(None),
+            newest_configuration: RefCell::default(),
             fleet: RefCell::default(),
             departures: RefCell::default(),
             load: RefCell::default(),
--- a/crates/coriandercove_router/tests/sync.rs
+++ b/crates/coriandercove_router/tests/sync.rs
@@ -13,9 +13,11 @@
 use std::time::Duration;
 
 use coriandercove_router::fleet::Target;
-use coriandercove_router::protocol::{Batch, Directory, DirectoryError, Item, StoreEra, Topic};
+use coriandercove_router::protocol::{
+    Batch, Directory, DirectoryError, Item, Malformed, StoreEra, Topic,
+};
 use coriandercove_router::revision_tracker::{Revisions, StorePosition};
-use coriandercove_router::routes::ConfigurationBuilder;
+use coriandercove_router::routes::{Configuration, ConfigurationBuilder};
 use coriandercove_router::sync::follow;
 use futures_util::future::LocalBoxFuture;
 use googletest::prelude::*;
@@ -127,6 +129,10 @@
         })
     }
 
+    fn decode_configuration(&self, _: &[u8]) -> Result<Configuration, Malformed> {
+        Ok(ConfigurationBuilder::new(1, 0).build())
+    }
+
     fn last_era(&self) -> Option<StoreEra> {
         None
     }
