Keep verdicts that a restored store has lost

What callers could see: a part of prompts that crashes targets is sent on again by all entries after the store came back from a copy older than the verdict. Cause: a verdict that the store held and holds no more counted as lifted by an operator. Class: something missing taken for something removed. Change: with a new era of the store, what it held before counts no more, so that the leader adds again what is in force. Measurement: a_store_from_an_older_copy_lifts_no_quarantine fails when the era is ignored (run) and passes.

--- a/crates/coriandercove_router/src/verdict_sync.rs
+++ b/crates/coriandercove_router/src/verdict_sync.rs
@@ -3,7 +3,8 @@
 //!
 //! Every entry lists the verdicts once after its start. Only the leader writes: verdicts that the
 //! store lacks, and the removal of those that have ended. A verdict that the store held and holds no
-//! more was lifted by an operator; the entries tell each other.
+//! more was lifted by an operator; the entries tell each other. After the store came back from an older
+//! copy it may lack verdicts that nobody lifted, so that what it held before counts no more.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -16,7 +17,7 @@
 use coriandercove_base::timer::{Subscription, TimerService};
 
 use crate::peers::Peers;
-use crate::protocol::{DirectoryError, PromptPart};
+use crate::protocol::{DirectoryError, PromptPart, StoreEra};
 use crate::quarantine::verdicts::{VERDICT_LIFETIME, VerdictReport};
 use crate::state::Router;
 
@@ -36,10 +37,19 @@
     pub until_ms: u64,
 }
 
+/// The verdicts that the store holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct VerdictList {
+    /// Era of the list; none if the answer names none that can be read.
+    pub era: Option<StoreEra>,
+    /// Every verdict that can be decoded.
+    pub verdicts: Vec<StoredVerdict>,
+}
+
 /// Lists and changes the verdicts in the platform's store.
 pub trait VerdictStore {
-    /// Lists every verdict that can be decoded.
-    fn list_verdicts(&self) -> LocalBoxFuture<'_, Result<Vec<StoredVerdict>, DirectoryError>>;
+    /// Lists the verdicts.
+    fn list_verdicts(&self) -> LocalBoxFuture<'_, Result<VerdictList, DirectoryError>>;
 
     /// Adds a verdict; one that the store has for the part already stays.
     fn add_verdict(&self, verdict: StoredVerdict)
@@ -112,6 +122,8 @@
     store: Rc<dyn VerdictStore>,
     /// Parts that the store held when it was last called, sorted.
     known: RefCell<Vec<PromptPart>>,
+    /// Era in which it held them; none before the first list that names one.
+    era: Cell<Option<StoreEra>>,
     /// Time of the last list; none before the first one.
     last_list: Cell<Option<Time>>,
     is_running: Cell<bool>,
@@ -130,6 +142,7 @@
             peers,
             store,
             known: RefCell::default(),
+            era: Cell::new(None),
             last_list: Cell::new(None),
             is_running: Cell::new(false),
         });
@@ -168,7 +181,18 @@
     }
 
     async fn run(&self) -> Result<(), DirectoryError> {
-        let stored = self.store.list_verdicts().await?;
+        let VerdictList {
+            era,
+            verdicts: stored,
+        } = self.store.list_verdicts().await?;
+        if let Some(era) = era.or(self.router.revisions.era())
+            && self
+                .era
+                .replace(Some(era))
+                .is_some_and(|before| before != era)
+        {
+            self.known.borrow_mut().clear();
+        }
         let now = self.router.now();
         let in_force: Vec<VerdictReport> = {
             let quarantine = self.router.quarantine.borrow();
--- a/crates/coriandercove_router/tests/crashing_prompt.rs
+++ b/crates/coriandercove_router/tests/crashing_prompt.rs
@@ -213,3 +213,26 @@
     assert_that!(members.iter().any(is_convicted), eq(false));
     assert_that!(cluster.verdicts.objects.borrow().len(), eq(0));
 }
+
+/// Guards against taking the verdicts that a store lost for verdicts that an operator lifted.
+#[actix_rt::test]
+async fn a_store_from_an_older_copy_lifts_no_quarantine() {
+    let cluster = Cluster::start(6, CRASHING).await;
+    cluster.verdicts.era.set(Some(1));
+    let members = [cluster.join(0).await, cluster.join(1).await];
+    for n in 0..3 {
+        crashing_request(&members[n % 2], &format!("c{n}")).await;
+    }
+    wait_for("the verdict is stored", || {
+        !cluster.verdicts.objects.borrow().is_empty()
+    })
+    .await;
+    cluster.verdicts.objects.borrow_mut().clear();
+    cluster.verdicts.era.set(Some(2));
+    wait_for("the verdict is stored again", || {
+        let is_convicted = |m: &Rc<Member>| m.entry.router.convicted_part(&[CRASHING]).is_some();
+        assert_that!(members.iter().all(is_convicted), eq(true));
+        !cluster.verdicts.objects.borrow().is_empty()
+    })
+    .await;
+}
--- a/crates/coriandercove_router/tests/support/cluster.rs
+++ b/crates/coriandercove_router/tests/support/cluster.rs
@@ -13,9 +13,9 @@
 use coriandercove_base::timer::{Subscription, TimerService};
 use coriandercove_router::fleet::Target;
 use coriandercove_router::peers::Peers;
-use coriandercove_router::protocol::{DirectoryError, PromptPart};
+use coriandercove_router::protocol::{DirectoryError, PromptPart, StoreEra};
 use coriandercove_router::settings::Settings;
-use coriandercove_router::verdict_sync::{StoredVerdict, VerdictStore, VerdictSync};
+use coriandercove_router::verdict_sync::{StoredVerdict, VerdictList, VerdictStore, VerdictSync};
 use futures_util::future::LocalBoxFuture;
 
 use super::{Entry, read_until, settings, write};
@@ -166,6 +166,8 @@
 #[derive(Default)]
 pub struct FakeVerdicts {
     pub objects: RefCell<Vec<StoredVerdict>>,
+    /// Era of the store; none if it names none.
+    pub era: Cell<Option<StoreEra>>,
     /// Whether every call fails.
     pub is_down: Cell<bool>,
 }
@@ -182,8 +184,11 @@
 }
 
 impl VerdictStore for FakeVerdicts {
-    fn list_verdicts(&self) -> LocalBoxFuture<'_, Result<Vec<StoredVerdict>, DirectoryError>> {
-        self.call(self.objects.borrow().clone())
+    fn list_verdicts(&self) -> LocalBoxFuture<'_, Result<VerdictList, DirectoryError>> {
+        self.call(VerdictList {
+            era: self.era.get(),
+            verdicts: self.objects.borrow().clone(),
+        })
     }
 
     fn add_verdict(
