--- a/crates/coriandercove_router/tests/support/cluster.rs
+++ b/crates/coriandercove_router/tests/support/cluster.rs
@@ -1,5 +1,5 @@
 //! Several entries that exchange datagrams, and targets that name limits, crash on a part of a prompt
-//! and come back as new incarnations.
+//! or on a whole request, and come back as new incarnations.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -58,7 +58,11 @@
     }
 }
 
-/// A target that streams an answer, and crashes if the prompt holds the part `crashing_part`.
+/// End of the paths of requests that crash every target.
+pub const CRASHING_PATH: &str = "/crash";
+
+/// A target that streams an answer, or answers at once on a route of a plain service. It crashes if the
+/// prompt holds the part `crashing_part` or the path ends with [`CRASHING_PATH`].
 struct CrashingTarget {
     address: SocketAddr,
     position: usize,
@@ -117,7 +121,9 @@
         let label = header(&head, "label").to_owned();
         let mut parts = header(&head, "parts").split(',');
         let crashing = self.crashing_part.to_string();
-        let is_crashing = parts.any(|p| p == crashing);
+        let path = head.split(' ').nth(1).unwrap_or_default();
+        let is_crashing = parts.any(|p| p == crashing) || path.ends_with(CRASHING_PATH);
+        let is_plain = path.starts_with("/safe") || path.starts_with("/once");
         let arrival = Arrival {
             at: Instant::now(),
             label: label.clone(),
@@ -125,6 +131,18 @@
             target: self.position,
         };
         self.events.arrivals.borrow_mut().push(arrival);
+        if is_plain {
+            tokio::time::sleep(CRASH_DELAY).await;
+            if is_crashing {
+                self.crash.notify_waiters();
+                return;
+            }
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nstamp: 1\r\nlabel: {label}\r\ncontent-length: 2\r\n\r\nok"
+            );
+            write(&mut stream, &answer).await;
+            return;
+        }
         let answer = format!(
             "HTTP/1.1 200 OK\r\nstamp: 1\r\nlabel: {label}\r\n{}transfer-encoding: chunked\r\n\r\n",
             self.limit_header()
