Take a resumed stream that ends with its connection before any event for broken off

What callers saw: nothing yet; operators of other systems found streams that ended as if they were complete after the next target's answer was none. Cause: the head of an answer without a length or chunks, then the end of its connection, counted as a complete rest of a stream if the caller had events of an earlier attempt. Class: the end of a connection taken for the end of an answer. Change: such an attempt is broken off, whatever came before. Found not to happen here, each shown by a test: an error's text or head in the middle of a stream (an answer that is no success is never read), and a success with an empty or short body after half a head. Measurement: an_error_in_place_of_the_rest_of_a_stream_is_not_passed_on failed before in its third case and passes; half_a_head_is_no_answer passed before as well.

--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -249,13 +249,12 @@
         }
     }
 
-    /// Whether the stream ended with its connection before any event, so that nothing shows it to be
-    /// complete. A resumed stream may have no event left.
+    /// Whether the attempt ended with its connection before any event, so that nothing shows it to be
+    /// complete, even if the caller has events of an earlier attempt.
     fn ended_unbegun(&self) -> bool {
-        let is_resumed = self.request.cursor.last().is_some();
         self.current
             .as_ref()
-            .is_some_and(|c| !is_resumed && !c.has_begun() && c.ends_with_connection())
+            .is_some_and(|c| !c.has_begun() && c.ends_with_connection())
     }
 
     /// Returns the complete events that have arrived and that the caller lacks.
