Believe a refusal only if it names the request

What callers saw: nothing yet; operators of other systems found 'not run, try again' for requests that a target had run, because a faulty target wrote an earlier refusal once more. Cause: each attempt has a connection of its own and the echoed label is compared, but a refusal without a label was taken for this request's. Class: a statement that is not tied to what it is about. Change: a statement that a request did not run counts only with the request's own label; without one the outcome is unknown. Measurement: the_refusal_of_another_request_is_not_taken_for_this_one failed before in its second case (503) and passes; the refusal of an earlier request, alone or before the answer, passed before as well.

--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -377,7 +377,12 @@
             .router
             .protocol
             .answer_facts(head.status, &head.headers);
-        let is_other = facts.label.is_some_and(|l| *l != *self.head.label);
+        // An answer that names no request is taken for this one's only if nothing can depend on it: a
+        // statement that the request did not run may be that of an earlier one, written once more.
+        let is_other = match &facts.label {
+            Some(label) => **label != *self.head.label,
+            None => facts.is_not_run && !self.head.label.is_empty(),
+        };
         if is_other {
             warn!(self.router.log, "answer to another request"; "req" => &*self.head.label,
                 "first" => %address);
--- a/crates/coriandercove_router/tests/faulty_targets.rs
+++ b/crates/coriandercove_router/tests/faulty_targets.rs
@@ -42,6 +42,21 @@
     (answer, requests(&seen))
 }
 
+/// Guards against telling a caller that its request has not run, because the target wrote the refusal
+/// of an earlier request once more, before the answer or in its place.
+#[actix_rt::test]
+async fn the_refusal_of_another_request_is_not_taken_for_this_one() {
+    const EARLIER: &str =
+        "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nlabel: earlier\r\ncontent-length: 0\r\n\r\n";
+    const NAMELESS: &str = "HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+    const BEFORE: &str = "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nlabel: earlier\r\ncontent-length: 0\r\n\r\nHTTP/1.1 200 OK\r\nstamp: 1\r\nlabel: r\r\ncontent-length: 2\r\n\r\nok";
+    for wrong in [&[EARLIER], &[NAMELESS], &[BEFORE]] {
+        let (answer, sent) = answer("/once/x", wrong).await;
+        assert_that!(answer, starts_with("HTTP/1.1 502"), "{wrong:?}");
+        assert_that!(sent, eq(1), "{wrong:?}");
+    }
+}
+
 /// Guards against an error of the next target in the middle of a stream that had begun, and against
 /// ending the stream as if it were complete.
 #[actix_rt::test]
