Leave targets alone for the pause that they ask for

What callers and targets would see: a target that answers 503 with Retry-After gets requests again after its exclusion of 0.5 s, and all at once. Cause: nothing read the header. Class: back pressure that is not followed. Change: an entry sends nothing to the target within the time, and tries a single request after it, each entry at a moment of its own; unreadable, negative and huge times are bounded. Ruled out: the exclusion of failing targets, which a success of another request ends and which lets probes and reports through. Measurement: a_target_that_wants_a_pause_is_left_alone_for_it fails when pauses are not asked (run: more than one request in the pause) and passes; pauses::tests for 60 entries.

--- a/crates/coriandercove_router/src/lib.rs
+++ b/crates/coriandercove_router/src/lib.rs
@@ -11,7 +11,7 @@
 //! passes through, [`fair_share`] ranks requests that are placed at the same time and limits
 //! accounts, [`layout`] divides the model's layers among the targets, [`refusal`] estimates when a
 //! refused caller should retry, [`attempt`] decides what follows a failed attempt, [`limits`] keeps to
-//! what targets in need take, [`budget`] limits
+//! what targets in need take, [`pauses`] leaves alone those that asked for it, [`budget`] limits
 //! repeats, [`exclusions`] and [`liveness`] track failing and silent targets, [`departures`] tells what
 //! an older copy of the platform's list says of targets that have left, and [`quarantine`] keeps
 //! prompts from targets that crash on a part of them.
@@ -37,6 +37,7 @@
 pub mod metrics;
 pub mod newest_configuration;
 pub mod path;
+pub mod pauses;
 pub mod peers;
 pub mod placer;
 pub mod process;
--- a/crates/coriandercove_router/src/metrics.rs
+++ b/crates/coriandercove_router/src/metrics.rs
@@ -36,6 +36,10 @@
     named_limits: CounterFamily,
     /// Changed verdicts on parts of prompts, by change and source together.
     verdicts: CounterFamily,
+    /// Pauses that targets asked for.
+    pub pauses: Counter,
+    /// Targets within a pause.
+    pub paused_targets: Gauge,
     /// Targets that name a limit.
     pub limited_targets: Gauge,
     /// Parts of prompts in quarantine.
@@ -86,6 +90,8 @@
             orders: m.counters("orders", "Orders to engines by outcome"),
             named_limits: m.counters("named_limits", "Answers that name a limit by readability"),
             verdicts: m.counters("part_verdicts", "Verdicts on parts of prompts by change"),
+            pauses: m.counter("target_pauses", "Pauses that targets asked for"),
+            paused_targets: m.gauge("paused_targets", "Targets within a pause"),
             limited_targets: m.gauge("limited_targets", "Targets that name a limit"),
             quarantined: m.gauge("quarantined_parts", "Parts of prompts in quarantine"),
             cancelled: m.counter("cancelled", "Requests whose caller left"),
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -211,7 +211,7 @@
 
     /// Sends an order, unless the target accepts no work or an order was sent to it a moment ago.
     fn order(self: &Rc<Self>, target: &Arc<Target>, layers: LayerRange, now: Time) {
-        if !self.router.accepts_work(target) {
+        if !self.router.accepts_work(target) || self.router.is_paused(target.address) {
             return;
         }
         let sequence = {
@@ -274,11 +274,12 @@
 
     fn poll_orders(self: &Rc<Self>, targets: &[Arc<Target>], now: Time) {
         for t in targets {
-            let is_due = self
-                .router
-                .placements
-                .borrow_mut()
-                .begin_poll(t, now, ORDER_POLL);
+            let is_due = !self.router.is_paused(t.address)
+                && self
+                    .router
+                    .placements
+                    .borrow_mut()
+                    .begin_poll(t, now, ORDER_POLL);
             if is_due {
                 self.read_target_report(t);
             }
@@ -297,7 +298,8 @@
         self.report_rounds.set(round.wrapping_add(1));
         let is_due = |address| {
             let is_limited = self.router.limits.borrow().limit(address).is_some();
-            !is_limited || round.is_multiple_of(LIMITED_REPORT_ROUNDS)
+            let has_turn = !is_limited || round.is_multiple_of(LIMITED_REPORT_ROUNDS);
+            has_turn && !self.router.is_paused(address)
         };
         let targets: Vec<Arc<Target>> = {
             let fleet = self.router.fleet.borrow();
@@ -379,7 +381,7 @@
     let addresses: Vec<SocketAddr> = {
         let mut liveness = router.liveness.borrow_mut();
         let now = router.now();
-        hops.filter(|a| liveness.begin_probe(*a, since, now))
+        hops.filter(|a| !router.is_paused(*a) && liveness.begin_probe(*a, since, now))
             .collect()
     };
     for address in &addresses {
@@ -391,7 +393,7 @@
 /// Probes a target that broke a connection, to see whether it has ended.
 pub(crate) fn probe_broken(router: &Rc<Router>, address: SocketAddr) {
     let now = router.now();
-    if router.liveness.borrow_mut().begin_recheck(address, now) {
+    if !router.is_paused(address) && router.liveness.borrow_mut().begin_recheck(address, now) {
         actix_rt::spawn(probe(Rc::clone(router), address));
     }
 }
--- a/crates/coriandercove_router/src/protocol.rs
+++ b/crates/coriandercove_router/src/protocol.rs
@@ -103,6 +103,8 @@
     pub at_fault: Option<SocketAddr>,
     /// Limit of requests that the target names.
     pub limit: NamedLimit,
+    /// Time in which the target, which turned the request away, wants nothing from this entry.
+    pub pause: Option<Duration>,
 }
 
 /// State of an engine, as the engine reports it.
--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -390,6 +390,7 @@
         }
         if facts.is_not_run || facts.is_stamped {
             self.router.record_limit(address, facts.limit, sent_at);
+            self.router.record_pause(address, facts.pause, sent_at);
         }
         if facts.is_not_run {
             let at_fault = facts.at_fault.unwrap_or(address);
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -28,6 +28,7 @@
     Bottleneck, Candidate, Demand, Hop, NoPath, Path, SearchContext, choose, choose_after,
     find_bottleneck,
 };
+use crate::pauses::Pauses;
 use crate::placer::Placements;
 use crate::protocol::{NamedLimit, Protocol, Topic};
 use crate::quarantine::Quarantine;
@@ -65,6 +66,8 @@
     pub share_limiter: RefCell<ShareLimiter>,
     /// Limits that targets in need name, and this entry's share of them.
     pub limits: RefCell<Limits>,
+    /// Targets that asked for a pause.
+    pub pauses: RefCell<Pauses>,
     /// Failing targets that get no new work.
     pub exclusions: RefCell<Exclusions>,
     /// Last events and probes of targets.
@@ -114,6 +117,7 @@
             load: RefCell::default(),
             usage: RefCell::default(),
             share_limiter: RefCell::default(),
+            pauses: RefCell::default(),
             exclusions: RefCell::default(),
             liveness: RefCell::default(),
             target_unreachable: Notify::new(),
@@ -208,23 +212,50 @@
         }
     }
 
-    /// Whether the limit that a target names, if any, allows a request of this entry now.
+    /// Whether the limit that a target names, and the pause that it asked for, allow a request of this
+    /// entry now.
     #[must_use]
     pub fn may_send(&self, target: SocketAddr) -> bool {
-        self.limits.borrow().allows(target, self.now())
+        let now = self.now();
+        self.limits.borrow().allows(target, now) && self.pauses.borrow().allows(target, now)
+    }
+
+    /// Whether a target is within a pause that it asked for.
+    #[must_use]
+    pub fn is_paused(&self, target: SocketAddr) -> bool {
+        self.pauses.borrow().is_paused(target, self.now())
+    }
+
+    /// Records the pause that a target asks for as it turns a request away, or that it took a request
+    /// sent at `sent_at`.
+    pub fn record_pause(&self, target: SocketAddr, pause: Option<Duration>, sent_at: Time) {
+        let Some(wait) = pause else {
+            self.pauses.borrow_mut().on_accepted(target, sent_at);
+            return;
+        };
+        let mut rng = self.rng.borrow_mut();
+        let kept = self
+            .pauses
+            .borrow_mut()
+            .on_refused(target, wait, self.now(), &mut rng);
+        self.metrics.pauses.inc();
+        info!(self.log, "target wants a pause"; "target" => %target,
+            "ms" => wait.as_millis(), "kept_ms" => kept.as_millis());
     }
 
     /// Counts a request, probe or order that is sent to a target against its limit.
     pub fn record_sent(&self, target: SocketAddr) {
-        self.limits.borrow_mut().on_sent(target, self.now());
+        let now = self.now();
+        self.limits.borrow_mut().on_sent(target, now);
+        self.pauses.borrow_mut().on_sent(target, now);
     }
 
-    /// Whether a target of the service names a limit.
+    /// Whether a target of the service names a limit or asked for a pause.
     #[must_use]
     pub fn has_limited_target(&self, service: &str) -> bool {
         let (fleet, limits) = (self.fleet.borrow(), self.limits.borrow());
         let mut targets = fleet.of_service(service);
-        targets.any(|t| limits.limit(t.address).is_some())
+        targets.any(|t| limits.limit(t.address).is_some() || self.is_paused(t.address))
     }
 
     /// Records what an answer of a target says about its limit; `sent_at` is the time at which the
@@ -283,6 +314,8 @@
             let age = now.saturating_sub(self.revisions.last_answer(topic));
             self.metrics.platform_age(topic.as_str(), age);
         }
+        let paused = self.pauses.borrow_mut().count(now);
+        self.metrics.paused_targets.set(paused.cast_signed() as i64);
         let (fleet, load) = (self.fleet.borrow(), self.load.borrow());
         let cfg = self.configuration();
         let gauges = fleet.iter().map(|t| {
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -366,6 +366,7 @@
             .is_some_and(|o| o.started_ms == target.started_ms && o.address == target.address);
         if !is_same {
             self.router.limits.borrow_mut().on_restarted(target.address);
+            self.router.pauses.borrow_mut().on_restarted(target.address);
         }
         let now = self.router.now();
         self.router.placements.borrow_mut().on_listed(&target, now);
