Give no new work to targets whose answers say that they leave

What targets would see: requests until the platform's list says that they are draining, which takes up to the pause between watches, longer while the store is away, and never for those that announce nothing there. Cause: nothing read the header. Class: a statement of the party concerned that waits for a third party's word. Change: an answer with Server-Leaving, to a request, a report or an order, ends new work for that incarnation at once, whatever the list says later; entries tell each other. Streams go on.

--- a/crates/coriandercove_router/src/departures/tests.rs
+++ b/crates/coriandercove_router/src/departures/tests.rs
@@ -65,3 +65,36 @@
     expect_that!(departures.left.len(), le(MAX_DEPARTURES));
     expect_true!(departures.left.contains("t2999"));
 }
+
+/// Guards against a list that lags and brings back a target whose answer, or a peer's word of it, said
+/// that it leaves; and against holding its next incarnation back.
+#[gtest]
+fn the_end_that_an_answer_announced_is_final_for_the_incarnation() {
+    let mut departures = Departures::default();
+    let leaving = LeavingTarget {
+        id: "t".into(),
+        started_ms: 50,
+    };
+    expect_true!(departures.on_leaving(&leaving, true, Time::ZERO));
+    expect_false!(departures.on_leaving(&leaving, true, Time::ZERO));
+    let told = departures.report(Time::from_secs(1));
+    let mut peer = Departures::default();
+    for target in &told.leaving {
+        expect_true!(peer.on_leaving(target, false, Time::from_secs(1)));
+    }
+    expect_that!(
+        peer.report(Time::from_secs(1)),
+        eq(&DeparturesReport::default())
+    );
+    for departures in [&departures, &peer] {
+        let judge = |started_ms| {
+            departures.judge(&target("t", 1, started_ms, false), &Fleet::default(), false)
+        };
+        expect_that!(judge(50), eq(Listing::Leaving));
+        expect_that!(judge(51), eq(Listing::Current));
+    }
+    expect_that!(
+        departures.report(Time::from_secs(60)),
+        eq(&DeparturesReport::default())
+    );
+}
--- a/crates/coriandercove_router/src/peers.rs
+++ b/crates/coriandercove_router/src/peers.rs
@@ -11,6 +11,7 @@
 use coriandercove_base::timer::{Subscription, TimerService};
 use coriandercove_base::{ConfigVersion, NodeId, SortedMap, Time, data};
 
+use crate::departures::DeparturesReport;
 use crate::limits::LimitsReport;
 use crate::load::{DIGEST_LIFETIME, Digest};
 use crate::placer::Placement;
@@ -62,6 +63,7 @@
     quarantine: QuarantineReport,
     limits: LimitsReport,
     store: StoreReport,
+    departures: DeparturesReport,
 }
 
 data! {
@@ -81,7 +83,8 @@
     let bytes = postcard::to_extend(&reports.usage, bytes)?;
     let bytes = postcard::to_extend(&reports.quarantine, bytes)?;
     let bytes = postcard::to_extend(&reports.limits, bytes)?;
-    postcard::to_extend(&reports.store, bytes)
+    let bytes = postcard::to_extend(&reports.store, bytes)?;
+    postcard::to_extend(&reports.departures, bytes)
 }
 
 /// Decodes a report that a datagram of an earlier version lacks, and returns what follows it.
@@ -100,12 +103,14 @@
     let (usage, rest) = take_report(rest)?;
     let (quarantine, rest) = take_report(rest)?;
     let (limits, rest) = take_report(rest)?;
-    let (store, _) = take_report(rest)?;
+    let (store, rest) = take_report(rest)?;
+    let (departures, _) = take_report(rest)?;
     let reports = Reports {
         usage,
         quarantine,
         limits,
         store,
+        departures,
     };
     Ok((datagram, reports))
 }
@@ -231,6 +236,7 @@
                 era: position.era,
                 version: self.router.configuration().map(|cfg| cfg.version),
             },
+            departures: self.router.departures.borrow().report(now),
         };
         let bytes = match encode(&datagram, &reports) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => bytes,
@@ -301,6 +307,9 @@
             let mut newest = self.router.newest_configuration.borrow_mut();
             newest.on_report(from, version, now);
         }
+        for leaving in &reports.departures.leaving {
+            self.router.record_leaving(leaving, false);
+        }
         self.learn_addresses(&datagram.peers, from, now);
         self.learn_placements(&datagram.placements, now);
         self.router
--- a/crates/coriandercove_router/src/peers/tests.rs
+++ b/crates/coriandercove_router/src/peers/tests.rs
@@ -53,6 +53,7 @@
             era: Some(2),
             version: Some(4),
         },
+        departures: DeparturesReport::default(),
     };
     let with = encode(&datagram(), &reports).unwrap();
     expect_that!(decode(&with).unwrap().1, eq(&reports));
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -236,6 +236,13 @@
         let request = self.router.protocol.placement_request(&order);
         self.router.record_sent(target.address);
         let answer = call(target.address, request, CALL_TIMEOUT).await;
+        if let Ok(answer) = &answer {
+            let facts = self
+                .router
+                .protocol
+                .answer_facts(answer.status, &answer.headers);
+            self.router.record_answer_of(&target.id, &facts);
+        }
         let layers = order.layers;
         let outcome = match &answer {
             Ok(a) if a.status.is_success() => "accepted",
@@ -261,7 +268,7 @@
             }
             "declined" => {
                 // The target accepted another order: its report shows which layers it holds.
-                if let Ok(report) = read_report(&self.router, target.address).await {
+                if let Ok(report) = read_report(&self.router, target).await {
                     let now = self.router.now();
                     let mut placements = self.router.placements.borrow_mut();
                     placements.drop_order(target);
@@ -319,7 +326,7 @@
         let target = Arc::clone(target);
         actix_rt::spawn(async move {
             let router = &placer.router;
-            match read_report(router, target.address).await {
+            match read_report(router, &target).await {
                 Ok(report) => {
                     let now = router.now();
                     let is_changed = router
@@ -356,12 +363,15 @@
         .max_by_key(|e| hash64(&[target.as_bytes(), e.as_bytes()]))
 }
 
-async fn read_report(router: &Router, address: SocketAddr) -> Result<Report, String> {
+async fn read_report(router: &Router, target: &Target) -> Result<Report, String> {
+    let address = target.address;
     let request = router.protocol.report_request();
     router.record_sent(address);
     let answer = call(address, request, CALL_TIMEOUT)
         .await
         .map_err(|e| e.to_string())?;
+    let facts = router.protocol.answer_facts(answer.status, &answer.headers);
+    router.record_answer_of(&target.id, &facts);
     if !answer.status.is_success() {
         return Err(format!("status {}", answer.status));
     }
--- a/crates/coriandercove_router/src/protocol.rs
+++ b/crates/coriandercove_router/src/protocol.rs
@@ -103,6 +103,8 @@
     pub at_fault: Option<SocketAddr>,
     /// Limit of requests that the target names.
     pub limit: NamedLimit,
+    /// Whether the target says that it is leaving.
+    pub is_leaving: bool,
     /// Time in which the target, which turned the request away, wants nothing from this entry.
     pub pause: Option<Duration>,
 }
--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -316,7 +316,9 @@
             }
         };
         match sent {
-            Ok(Ok(exchange)) => self.classify_answer(exchange, in_flight, address, hops, sent_at),
+            Ok(Ok(exchange)) => {
+                self.classify_answer(exchange, in_flight, (&target, address), hops, sent_at)
+            }
             Ok(Err(e)) => Err(self.exchange_failed(&e, address, &hops, sent_at)),
             Err(_) => Err(FailedAttempt {
                 failure: Failure::Unknown,
@@ -368,7 +370,7 @@
         &self,
         exchange: Exchange,
         in_flight: InFlight,
-        address: SocketAddr,
+        (target, address): (&TargetId, SocketAddr),
         hops: Vec<Hop>,
         sent_at: Time,
     ) -> Result<StartedAttempt, FailedAttempt> {
@@ -391,6 +393,7 @@
         if facts.is_not_run || facts.is_stamped {
             self.router.record_limit(address, facts.limit, sent_at);
             self.router.record_pause(address, facts.pause, sent_at);
+            self.router.record_answer_of(target, &facts);
         }
         if facts.is_not_run {
             let at_fault = facts.at_fault.unwrap_or(address);
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -14,7 +14,7 @@
 use coriandercove_base::{Clock, MonotonicClock, SortedMap, Time, ZoneId};
 
 use crate::budget::RetryBudget;
-use crate::departures::Departures;
+use crate::departures::{Departures, LeavingTarget};
 use crate::exclusions::Exclusions;
 use crate::fair_share::{Rank, ShareLimiter, Unseen, rank};
 use crate::fleet::{Fleet, LayerRange, Target};
@@ -30,7 +30,7 @@
 };
 use crate::pauses::Pauses;
 use crate::placer::Placements;
-use crate::protocol::{NamedLimit, Protocol, Topic};
+use crate::protocol::{AnswerFacts, NamedLimit, Protocol, Topic};
 use crate::quarantine::Quarantine;
 use crate::refusal::WaitEstimator;
 use crate::revision_tracker::RevisionTracker;
@@ -226,6 +226,40 @@
         self.pauses.borrow().is_paused(target, self.now())
     }
 
+    /// Records that an incarnation of a target is leaving, as one of its answers or a peer said. It
+    /// gets no new work until it is born again, whatever the platform's list says.
+    pub fn record_leaving(&self, leaving: &LeavingTarget, is_own: bool) {
+        let now = self.now();
+        let mut departures = self.departures.borrow_mut();
+        if !departures.on_leaving(leaving, is_own, now) {
+            return;
+        }
+        if is_own {
+            self.is_news_urgent.set(true);
+        }
+        info!(self.log, "target is leaving"; "id" => &*leaving.id,
+            "started_ms" => leaving.started_ms, "source" => if is_own { "answer" } else { "peer" });
+        let mut fleet = self.fleet.borrow_mut();
+        let known = fleet.get(&leaving.id);
+        if let Some(known) = known.filter(|t| t.started_ms == leaving.started_ms) {
+            let mut target = Target::clone(known);
+            target.is_draining = true;
+            fleet.insert(Arc::new(target));
+        }
+    }
+
+    /// Records what an answer of a listed target says of its leaving.
+    pub fn record_answer_of(&self, id: &str, facts: &AnswerFacts) {
+        if !facts.is_leaving {
+            return;
+        }
+        let started_ms = self.fleet.borrow().get(id).map(|t| t.started_ms);
+        if let Some(started_ms) = started_ms {
+            let id = id.into();
+            self.record_leaving(&LeavingTarget { id, started_ms }, true);
+        }
+    }
+
     /// Records the pause that a target asks for as it turns a request away, or that it took a request
     /// sent at `sent_at`.
     pub fn record_pause(&self, target: SocketAddr, pause: Option<Duration>, sent_at: Time) {
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -82,6 +82,7 @@
             is_stamped: headers.contains_key("stamp"),
             label: text(headers, LABEL),
             at_fault: None,
+            is_leaving: headers.contains_key("leaving"),
             pause: text(headers, "pause-ms").map(|ms| Duration::from_millis(ms.parse().unwrap())),
             limit: text(headers, "limit").map_or(NamedLimit::None, |limit| {
                 limit
--- a/crates/coriandercove_router/tests/target_notices.rs
+++ b/crates/coriandercove_router/tests/target_notices.rs
@@ -1,4 +1,4 @@
-//! Targets that say in their answers what they want: a pause.
+//! Targets that say in their answers what they want: a pause, or no new work because they leave.
 
 mod support;
 
@@ -6,6 +6,7 @@
 
 use googletest::prelude::*;
 
+use coriandercove_router::departures::LeavingTarget;
 use support::{Entry, Seen, read_all, target, write};
 
 const SOUND: &str = "HTTP/1.1 200 OK\r\nstamp: 1\r\ncontent-length: 2\r\nlabel: ";
@@ -59,3 +60,30 @@
     assert_that!(seen.borrow().len(), eq(before + 2));
     assert_that!(served.borrow().len(), eq(while_busy));
 }
+
+/// Guards against new work for a target whose answer said that it leaves, before the platform's list
+/// says so, and against a peer's word that is not followed.
+#[actix_rt::test]
+async fn a_target_that_says_that_it_leaves_gets_no_new_work() {
+    const LEAVING: &str =
+        "HTTP/1.1 200 OK\r\nstamp: 1\r\nleaving: 1\r\ncontent-length: 2\r\nlabel: ";
+    let (leaving, seen) = answering(LEAVING).await;
+    let (sound, _) = answering(SOUND).await;
+    let entry = Entry::start(&[leaving, sound]).await;
+    for route in ["safe", "once"] {
+        let answered = send_for(&entry, route, Duration::from_millis(300)).await;
+        assert_that!(answered, ge(10));
+        assert_that!(seen.borrow().len(), eq(1), "{route}");
+    }
+    let other = Entry::start(&[leaving, sound]).await;
+    let told = LeavingTarget {
+        id: "t0".into(),
+        started_ms: 1,
+    };
+    other.router.record_leaving(&told, false);
+    assert_that!(
+        send_for(&other, "safe", Duration::from_millis(300)).await,
+        ge(10)
+    );
+    assert_that!(seen.borrow().len(), eq(1));
+}
