Make two tests fail when what they are named after is missing

Cause: one passed when entries ignored each other's reports of limits, the other when crashes need not follow one another and common or lately answered parts counted too. Change: an entry that has sent nothing must know the limit from its peers; targets are now ended by the test, together, in a series with answers in between, and in an outage, while requests of a sound part run at all of them. The checks that were there stay, but for the six requests that crashed six targets, which are 24 requests at eight ended targets now.

--- a/crates/coriandercove_router/tests/crashing_prompt.rs
+++ b/crates/coriandercove_router/tests/crashing_prompt.rs
@@ -18,7 +18,7 @@
 use coriandercove_base::hash::hash64;
 use coriandercove_base::rng;
 use support::cluster::{Cluster, Member};
-use support::{read_all, read_until};
+use support::read_all;
 
 /// Part that crashes targets.
 const CRASHING: u64 = 666;
@@ -139,6 +139,13 @@
     assert_that!(begun * 2, ge(sound.len()), "sound requests that begin");
 }
 
+/// Whether a request with this part begins at an entry.
+async fn is_served(member: &Rc<Member>, part: u64) -> bool {
+    let headers = prompt_headers(&format!("after-{part}"), &part.to_string());
+    let mut caller = member.entry.request("/resumable/x", &headers).await;
+    read_all(&mut caller).await.starts_with("HTTP/1.1 200")
+}
+
 /// Guards against judging by the targets that end: a lost rack ends many targets at once, and with
 /// them the requests of every part.
 #[actix_rt::test]
@@ -146,25 +153,55 @@
     let cluster = Cluster::start(8, CRASHING).await;
     let members = [cluster.join(0).await, cluster.join(1).await];
     let answers = Answers::default();
-    // Six requests begin at six targets at the same moment, each with the part that ends them.
-    for n in 0..6 {
-        request(
-            &members[n % 2],
-            format!("c{n}"),
-            vec![SHARED, CRASHING],
-            &answers,
-        );
+    for n in 0..24 {
+        let part = if n < 12 { SHARED } else { 100 + n as u64 };
+        request(&members[n % 2], format!("c{n}"), vec![part], &answers);
     }
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    (0..8).for_each(|target| cluster.end_target(target));
     tokio::time::sleep(Duration::from_secs(3)).await;
-    let mut caller = members[0]
-        .entry
-        .request(
-            "/resumable/x",
-            "label: s\r\nparts: 7\r\nconnection: close\r\n",
-        )
-        .await;
-    let answer = read_until(&mut caller, "id: 1\n").await;
-    assert_that!(answer, starts_with("HTTP/1.1 200"));
+    assert_that!(cluster.events.crashes.borrow().len(), eq(8));
+    assert_that!(is_served(&members[0], SHARED).await, eq(true));
+}
+
+/// Guards against convicting a part that is answered all the time, because targets that run requests
+/// with it are lost one after the other.
+#[actix_rt::test]
+async fn requests_that_are_answered_lately_are_served_after_a_series_of_losses() {
+    let cluster = Cluster::start(8, CRASHING).await;
+    let member = cluster.join(0).await;
+    let answers = Answers::default();
+    for lost in 0..4 {
+        for n in 0..48 {
+            let part = if n < 16 { SHARED } else { 100 + n };
+            request(&member, format!("c{lost}-{n}"), vec![part], &answers);
+        }
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        cluster.end_target(lost);
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+    }
+    assert_that!(cluster.events.crashes.borrow().len(), eq(4));
+    assert_that!(is_served(&member, SHARED).await, eq(true));
+}
+
+/// Guards against convicting a part that most prompts hold, because an outage ends every target, one
+/// after the other, before anything is answered.
+#[actix_rt::test]
+async fn requests_with_a_common_part_are_served_after_an_outage() {
+    let cluster = Cluster::start(8, CRASHING).await;
+    let member = cluster.join(0).await;
+    let answers = Answers::default();
+    for n in 0..48 {
+        request(&member, format!("c{n}"), vec![SHARED], &answers);
+    }
+    tokio::time::sleep(Duration::from_millis(120)).await;
+    for target in 0..8 {
+        cluster.end_target(target);
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_that!(cluster.events.crashes.borrow().len(), eq(8));
+    assert_that!(is_served(&member, SHARED).await, eq(true));
 }
 
 /// Sends a request with the crashing part and returns the head of the answer.
--- a/crates/coriandercove_router/tests/named_limits.rs
+++ b/crates/coriandercove_router/tests/named_limits.rs
@@ -97,6 +97,10 @@
     let named = Instant::now();
     load(&members, 2, Duration::from_secs(5), &answers).await;
     members.push(cluster.join(4).await);
+    // The new entry has sent nothing; it knows the limit from its peers.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let limits = &members[4].entry.router.limits;
+    assert_that!(limits.borrow().limit(cluster.address(0)), some(anything()));
     load(&members, 3, Duration::from_secs(5), &answers).await;
     tokio::time::sleep(Duration::from_secs(1)).await;
     let most = most_in_window(&arrivals(&cluster.events, 0), named + CONTACT);
--- a/crates/coriandercove_router/tests/support/cluster.rs
+++ b/crates/coriandercove_router/tests/support/cluster.rs
@@ -256,6 +256,7 @@
 /// Entries that know each other, and targets that crash on one part.
 pub struct Cluster {
     members: Rc<Members>,
+    targets: Vec<Rc<CrashingTarget>>,
     pub events: Rc<Events>,
     pub verdicts: Rc<FakeVerdicts>,
     port: u16,
@@ -265,8 +266,9 @@
     /// Starts targets that crash on `crashing_part`, without entries.
     pub async fn start(targets: usize, crashing_part: u64) -> Self {
         let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-        let cluster = Self {
+        let mut cluster = Self {
             members: Rc::default(),
+            targets: Vec::new(),
             events: Rc::default(),
             verdicts: Rc::default(),
             port: socket.local_addr().unwrap().port(),
@@ -283,11 +285,22 @@
                 events: Rc::clone(&cluster.events),
             });
             cluster.members.list(target.address, 1);
+            cluster.targets.push(Rc::clone(&target));
             actix_rt::spawn(target.run(listener, Rc::clone(&cluster.members)));
         }
         cluster
     }
 
+    /// Address of the target at a position.
+    pub fn address(&self, target: usize) -> SocketAddr {
+        self.targets[target].address
+    }
+
+    /// Ends a target, whatever it runs.
+    pub fn end_target(&self, target: usize) {
+        self.targets[target].crash.notify_waiters();
+    }
+
     /// Settings of the entry `n` of the cluster, counted from 0.
     pub fn settings(&self, n: u8) -> Settings {
         // Seeds are known by their addresses; all entries use the same port.
