--- a/crates/coriandercove_router/src/departures.rs
+++ b/crates/coriandercove_router/src/departures.rs
@@ -59,7 +59,7 @@
     /// Targets whose answers said lately that they are leaving, as sent to the peers.
     #[derive(Eq, Default)]
     pub struct DeparturesReport {
-        /// At most [`MAX_REPORTED`].
+        /// The latest first, some dozens at the most.
         pub leaving: Vec<LeavingTarget>,
     }
 }
