Check the first event again after many targets ended together

Cause: the test that was rewritten to end targets from outside checked the status of the sound request only, where it had waited for its first event before, and no longer played crashing prompts that end targets together. Both made it weaker; found by reading the changed tests line by line. Change: the first event is checked in all three tests of losses, and the load that was dropped is a test of its own again.

--- a/crates/coriandercove_router/tests/crashing_prompt.rs
+++ b/crates/coriandercove_router/tests/crashing_prompt.rs
@@ -139,11 +139,32 @@
     assert_that!(begun * 2, ge(sound.len()), "sound requests that begin");
 }
 
-/// Whether a request with this part begins at an entry.
+/// Whether a request with this part is answered, with its first event.
 async fn is_served(member: &Rc<Member>, part: u64) -> bool {
     let headers = prompt_headers(&format!("after-{part}"), &part.to_string());
     let mut caller = member.entry.request("/resumable/x", &headers).await;
-    read_all(&mut caller).await.starts_with("HTTP/1.1 200")
+    let answer = read_all(&mut caller).await;
+    answer.starts_with("HTTP/1.1 200") && answer.contains("id: 1\n")
+}
+
+/// Guards against convicting the part that crashing prompts share with sound ones, as many targets end
+/// under both at the same moment.
+#[actix_rt::test]
+async fn sound_requests_are_served_after_crashing_ones_ended_targets_together() {
+    let cluster = Cluster::start(8, CRASHING).await;
+    let members = [cluster.join(0).await, cluster.join(1).await];
+    let answers = Answers::default();
+    // Six requests begin at six targets at the same moment, each with the part that ends them.
+    for n in 0..6 {
+        request(
+            &members[n % 2],
+            format!("c{n}"),
+            vec![SHARED, CRASHING],
+            &answers,
+        );
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_that!(is_served(&members[0], SHARED).await, eq(true));
 }
 
 /// Guards against judging by the targets that end: a lost rack ends many targets at once, and with
