Find silent connections to the store by watches that end in turn

Callers saw requests handled by an older version 3.9 s after a newer one was acknowledged, and up to 20.7 s with 32 peers or more.

Cause: a connection that falls silent without a reset shows only when the watch on it ends. The watches of all entries began together after each change and ended together, so that no entry was ahead of the others and could tell them.

Change: the entries take turns by the time of day and their order by name (watch_timing, pure). A watch without an answer, followed by a prompt list on a new connection, is a fact that peers are told in their datagrams; they list each topic whose connection was not answered since. The tolerance for a peer that is ahead is no longer prolonged by a watch that ends meanwhile, which shorter watches of few entries would have shown.

The price: an entry alone now watches every 1.5 s instead of 5 s, as nobody else could tell it.

--- a/crates/coriandercove_router/src/lib.rs
+++ b/crates/coriandercove_router/src/lib.rs
@@ -13,7 +13,8 @@
 //! refused caller should retry, [`attempt`] decides what follows a failed attempt, [`limits`] keeps to
 //! what targets in need take, [`pauses`] leaves alone those that asked for it, [`budget`] limits
 //! repeats, [`exclusions`] and [`liveness`] track failing and silent targets, [`departures`] tells what
-//! an older copy of the platform's list says of targets that have left, and [`quarantine`] keeps
+//! an older copy of the platform's list says of targets that have left, [`watch_timing`] spreads the
+//! watches of the platform's store so that silent connections are found, and [`quarantine`] keeps
 //! prompts from targets that crash on a part of them.
 //! Time, randomness and observations are passed in.
 //!
@@ -50,9 +51,11 @@
 pub mod routes;
 pub mod server;
 pub mod settings;
+pub mod silent_connections;
 pub mod sse;
 pub mod state;
 pub mod sync;
 pub mod upstream;
 pub mod usage;
 pub mod verdict_sync;
+pub mod watch_timing;
--- a/crates/coriandercove_router/src/load.rs
+++ b/crates/coriandercove_router/src/load.rs
@@ -222,6 +222,12 @@
         }
     }
 
+    /// Number of peers with a lower name than `node` whose digest has not expired.
+    #[must_use]
+    pub fn peers_before(&self, node: &NodeId) -> usize {
+        self.peers.keys().filter(|peer| *peer < node).count()
+    }
+
     /// Number of peers whose digest has not expired.
     #[must_use]
     pub fn peers(&self) -> usize {
--- a/crates/coriandercove_router/src/metrics.rs
+++ b/crates/coriandercove_router/src/metrics.rs
@@ -56,6 +56,8 @@
     pub store_restores: Counter,
     /// Era that the platform's store names.
     pub store_era: Gauge,
+    /// Connections to the platform's store that were found silent.
+    pub silent_connections: Counter,
     /// Targets in the platform's list.
     pub targets: Gauge,
     /// Requests in flight, streams until their end included.
@@ -103,6 +105,10 @@
             ),
             store_restores: m.counter("store_restores", "Returns of the store from an older copy"),
             store_era: m.gauge("store_era", "Era that the store names"),
+            silent_connections: m.counter(
+                "silent_store_connections",
+                "Connections to the store found silent",
+            ),
             targets: m.gauge("targets", "Targets listed"),
             in_flight: m.gauge("requests_in_flight", "Requests in flight"),
             peers: m.gauge("peers", "Other entries heard of"),
--- a/crates/coriandercove_router/src/peers.rs
+++ b/crates/coriandercove_router/src/peers.rs
@@ -18,6 +18,7 @@
 use crate::protocol::StoreEra;
 use crate::quarantine::QuarantineReport;
 use crate::revision_tracker::{Revisions, StorePosition};
+use crate::silent_connections::ConnectionsReport;
 use crate::state::Router;
 use crate::usage::UsageReport;
 
@@ -64,6 +65,7 @@
     limits: LimitsReport,
     store: StoreReport,
     departures: DeparturesReport,
+    connections: ConnectionsReport,
 }
 
 data! {
@@ -84,7 +86,8 @@
     let bytes = postcard::to_extend(&reports.quarantine, bytes)?;
     let bytes = postcard::to_extend(&reports.limits, bytes)?;
     let bytes = postcard::to_extend(&reports.store, bytes)?;
-    postcard::to_extend(&reports.departures, bytes)
+    let bytes = postcard::to_extend(&reports.departures, bytes)?;
+    postcard::to_extend(&reports.connections, bytes)
 }
 
 /// Decodes a report that a datagram of an earlier version lacks, and returns what follows it.
@@ -104,13 +107,15 @@
     let (quarantine, rest) = take_report(rest)?;
     let (limits, rest) = take_report(rest)?;
     let (store, rest) = take_report(rest)?;
-    let (departures, _) = take_report(rest)?;
+    let (departures, rest) = take_report(rest)?;
+    let (connections, _) = take_report(rest)?;
     let reports = Reports {
         usage,
         quarantine,
         limits,
         store,
         departures,
+        connections,
     };
     Ok((datagram, reports))
 }
@@ -237,6 +242,7 @@
                 version: self.router.configuration().map(|cfg| cfg.version),
             },
             departures: self.router.departures.borrow().report(now),
+            connections: self.router.silent_connections.report(now),
         };
         let bytes = match encode(&datagram, &reports) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => bytes,
@@ -307,6 +313,8 @@
             let mut newest = self.router.newest_configuration.borrow_mut();
             newest.on_report(from, version, now);
         }
+        let connections = &self.router.silent_connections;
+        connections.on_report(reports.connections, now);
         for leaving in &reports.departures.leaving {
             self.router.record_leaving(leaving, false);
         }
--- a/crates/coriandercove_router/src/peers/tests.rs
+++ b/crates/coriandercove_router/src/peers/tests.rs
@@ -54,6 +54,9 @@
             version: Some(4),
         },
         departures: DeparturesReport::default(),
+        connections: ConnectionsReport {
+            silent_ms: Some(40),
+        },
     };
     let with = encode(&datagram(), &reports).unwrap();
     expect_that!(decode(&with).unwrap().1, eq(&reports));
--- a/crates/coriandercove_router/src/protocol.rs
+++ b/crates/coriandercove_router/src/protocol.rs
@@ -265,6 +265,12 @@
         /// Cause, as the connection reported it.
         problem: String,
     },
+    /// The platform did not answer in time on an open connection.
+    #[snafu(display("the platform does not answer: {problem}"))]
+    Silent {
+        /// Address and time limit.
+        problem: String,
+    },
     /// The answer cannot be decoded.
     #[snafu(display("the platform's answer cannot be decoded: {source}"))]
     Unreadable {
--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -338,7 +338,7 @@
             "first" => %address, "cause" => %e);
         let failure = match e {
             ExchangeError::NotSent { .. } => Failure::NotSent,
-            ExchangeError::Broken { .. } => Failure::Unknown,
+            ExchangeError::Broken { .. } | ExchangeError::TimedOut { .. } => Failure::Unknown,
         };
         if failure == Failure::NotSent {
             self.router.record_unreachable(address, "connection");
--- a/crates/coriandercove_router/src/revision_tracker.rs
+++ b/crates/coriandercove_router/src/revision_tracker.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use coriandercove_base::{Time, data};
 
@@ -94,6 +95,9 @@
     refuted_era: Cell<Option<StoreEra>>,
     /// Time of the platform's last answer; [`Time::ZERO`] before the first one.
     last_answers: Cell<PerTopic<Time>>,
+    /// Time at which a peer was first seen to be ahead, while it is. A watch that ends meanwhile does
+    /// not prolong the tolerance.
+    behind_since: Cell<PerTopic<Option<Instant>>>,
     changed: Notify,
 }
 
@@ -214,10 +218,19 @@
             if self.era() != era {
                 return;
             }
+            let mut behind_since = self.behind_since.get();
+            let since = behind_since.of_mut(topic);
             if self.is_peer_ahead(topic) {
-                tokio::time::sleep(WATCH_TOLERANCE).await;
+                let due = *since.get_or_insert_with(Instant::now) + WATCH_TOLERANCE;
+                self.behind_since.set(behind_since);
+                tokio::time::sleep_until(due).await;
+                behind_since = self.behind_since.get();
+                *behind_since.of_mut(topic) = None;
+                self.behind_since.set(behind_since);
                 return;
             }
+            *since = None;
+            self.behind_since.set(behind_since);
             changed.await;
         }
     }
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -36,6 +36,7 @@
 use crate::revision_tracker::RevisionTracker;
 use crate::routes::{Configuration, EngineModel, Service};
 use crate::settings::{LiveSettings, Settings};
+use crate::silent_connections::SilentConnections;
 use crate::usage::{AccountKey, UsageTracker};
 
 /// State of a router, shared by all tasks of its thread.
@@ -84,6 +85,8 @@
     pub placements: RefCell<Placements>,
     /// Store revisions that this entry and its peers know.
     pub revisions: RevisionTracker,
+    /// When connections to the store were found silent.
+    pub silent_connections: SilentConnections,
     /// Estimate of the retry delay for refused callers.
     pub wait_estimator: RefCell<WaitEstimator>,
     /// Budget of repeated attempts.
@@ -126,6 +129,7 @@
             is_news_urgent: Cell::new(false),
             placements: RefCell::default(),
             revisions: RevisionTracker::default(),
+            silent_connections: SilentConnections::default(),
             wait_estimator: RefCell::default(),
             retry_budget: RefCell::new(budget),
             rng: RefCell::new(rng),
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand::Rng as _;
 use slog::{info, warn};
@@ -14,16 +14,15 @@
 use crate::protocol::{Batch, Directory, DirectoryError, Item, StoreEra, Topic};
 use crate::revision_tracker::EraChange;
 use crate::settings::LiveSettings;
+use crate::silent_connections::renewal_pause;
 use crate::state::Router;
+use crate::watch_timing::WatchSlot;
 
-/// Time that a watch waits for a change. A silent connection is noticed after it, or when a peer is
-/// ahead. With more peers the latter becomes more reliable and the calls of all entries add up, so
-/// that the wait grows.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
-/// Number of peers for which the wait grows by another [`WATCH_WAIT`].
-const PEERS_PER_WATCH_WAIT: usize = 8;
-/// Maximum wait of a watch, in multiples of [`WATCH_WAIT`].
-const MAX_WATCH_WAITS: usize = 4;
+/// Topics that each entry watches.
+const TOPICS: [Topic; 2] = [Topic::Configuration, Topic::Targets];
+/// Maximum time of a list that shows that the store is well, so that a watch without an answer had
+/// waited on a silent connection.
+const PROMPT_LIST: Duration = Duration::from_millis(300);
 /// Pause between watches, as a share of the bound on applying a configuration, so that a series of
 /// changes takes one call. The rest of the bound is left for the call itself and for its late
 /// start.
@@ -67,6 +66,8 @@
         failed_since: None,
         reconnected_at: None,
         copy_until: None,
+        listed_at: Time::ZERO,
+        unanswered_watch: None,
         failures: 0,
         lapsed: Vec::new(),
     };
@@ -93,6 +94,10 @@
     /// Time until which a list may be older than what is known; none if the store has not come back
     /// from a copy lately.
     copy_until: Option<Time>,
+    /// Time of the last list.
+    listed_at: Time,
+    /// Time at which a watch ended without an answer, until the next call has ended.
+    unanswered_watch: Option<Time>,
     /// Failed calls since the last answer.
     failures: u32,
     /// Targets that were missing after an outage, with the time at which they are removed unless
@@ -126,9 +131,16 @@
                         self.revision = None;
                         return;
                     }
+                    () = self.wait_until_doubtful() => {
+                        info!(self.router.log, "connection may be silent, listing again";
+                            "topic" => self.topic.as_str(), "revision" => after);
+                        self.revision = None;
+                        return;
+                    }
                 }
             }
         };
+        self.find_silence(&result, known.is_some(), began);
         let named = match &result {
             Ok(batch) => batch.era,
             // Another call may have got an answer of an earlier era since.
@@ -238,9 +250,55 @@
     }
 
     fn watch_wait(&self) -> Duration {
-        let peers = self.router.load.borrow().peers();
-        let multiple = (peers / PEERS_PER_WATCH_WAIT).clamp(1, MAX_WATCH_WAITS);
-        WATCH_WAIT * multiple as u32
+        let load = self.router.load.borrow();
+        let slot = WatchSlot {
+            entries: load.peers() + 1,
+            rank: load.peers_before(&self.router.settings.node),
+            topic: TOPICS.iter().take_while(|t| **t != self.topic).count(),
+            topics: TOPICS.len(),
+        };
+        // A clock before 1970 only takes another turn.
+        let time_of_day = SystemTime::now().duration_since(UNIX_EPOCH);
+        slot.wait(time_of_day.unwrap_or_default())
+    }
+
+    /// Returns once this topic's connection may be silent and may be renewed.
+    async fn wait_until_doubtful(&self) {
+        let router = &self.router;
+        let answered = router.revisions.last_answer(self.topic);
+        router
+            .silent_connections
+            .wait_until_doubtful(answered)
+            .await;
+        tokio::time::sleep(renewal_pause(self.listed_at, router.now())).await;
+    }
+
+    /// Records that connections are silent if a watch got no answer and the list after it, on a new
+    /// connection, got one at once.
+    fn find_silence(
+        &mut self,
+        result: &Result<Batch, DirectoryError>,
+        is_watch: bool,
+        began: Time,
+    ) {
+        let router = &self.router;
+        let now = router.now();
+        let unanswered = self.unanswered_watch.take();
+        match result {
+            Err(DirectoryError::Silent { .. }) if is_watch => self.unanswered_watch = Some(now),
+            Ok(_) if !is_watch => {
+                self.listed_at = now;
+                let is_prompt = now.saturating_sub(began) <= PROMPT_LIST;
+                if let Some(at) = unanswered.filter(|_| is_prompt) {
+                    warn!(router.log, "connections to the store fell silent";
+                        "topic" => self.topic.as_str());
+                    router.metrics.silent_connections.inc();
+                    router.silent_connections.on_found(at);
+                    router.is_news_urgent.set(true);
+                }
+            }
+            _ => {}
+        }
     }
 
     fn on_answer(&mut self) {
--- a/crates/coriandercove_router/src/upstream.rs
+++ b/crates/coriandercove_router/src/upstream.rs
@@ -37,6 +37,12 @@
         /// Address and cause.
         problem: String,
     },
+    /// No complete answer arrived in time; the request may have arrived.
+    #[snafu(display("no answer in time: {problem}"))]
+    TimedOut {
+        /// Address and time limit.
+        problem: String,
+    },
 }
 
 /// Keeps a connection alive; it is closed at once when this is dropped.
@@ -152,7 +158,7 @@
 /// answer.
 ///
 /// # Errors
-/// As for [`send`]; also [`ExchangeError::Broken`] if `timeout` passes.
+/// As for [`send`]; also [`ExchangeError::TimedOut`] if `timeout` passes.
 pub async fn call(
     to: SocketAddr,
     request: Request<Bytes>,
@@ -186,6 +192,11 @@
         }
     }
 
+    /// Closes the kept connection, so that the next call makes a new one.
+    pub fn close(&self) {
+        self.kept.take();
+    }
+
     /// Makes a call. The connection is kept only after a complete answer.
     ///
     /// # Errors
@@ -214,7 +225,7 @@
         tokio::time::timeout(timeout, call)
             .await
             .unwrap_or_else(|_| {
-                Err(ExchangeError::Broken {
+                Err(ExchangeError::TimedOut {
                     problem: format!("{}: no answer within {timeout:?}", self.to),
                 })
             })
