--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -474,7 +474,7 @@
                 })
             })?;
         let requests = self.router.load.borrow().total(target.address).requests;
-        if requests >= target.slots.max(1) * REQUESTS_PER_SLOT {
+        if requests >= target.slots.max(1).saturating_mul(REQUESTS_PER_SLOT) {
             return Err(FailedAttempt::not_sent(Refusal::Full));
         }
         self.router.record_sent(target.address);
--- a/crates/coriandercove_router/src/sync.rs
+++ b/crates/coriandercove_router/src/sync.rs
@@ -69,6 +69,7 @@
         listed_at: Time::ZERO,
         unanswered_watch: None,
         failures: 0,
+        unreadable: Vec::new(),
         lapsed: Vec::new(),
     };
     loop {
@@ -100,6 +101,9 @@
     unanswered_watch: Option<Time>,
     /// Failed calls since the last answer.
     failures: u32,
+    /// Names of the unreadable objects that have been reported, sorted. Those without a readable name
+    /// share an empty one.
+    unreadable: Vec<Arc<str>>,
     /// Targets that were missing after an outage, with the time at which they are removed unless
     /// they have registered again.
     lapsed: Vec<(Arc<str>, Time)>,
@@ -346,6 +350,7 @@
             .record_revision(self.topic, batch.revision, batch.last_change);
         if is_whole {
             self.router.revisions.record_list();
+            self.forget_unreadable(&batch);
             if self.topic == Topic::Targets {
                 self.remove_missing(&batch);
             }
@@ -363,14 +368,32 @@
             .set(targets.cast_signed() as i64);
     }
 
+    /// Forgets the unreadable objects that a list no longer holds.
+    fn forget_unreadable(&mut self, batch: &Batch) {
+        let mut listed: Vec<&str> = batch
+            .items
+            .iter()
+            .filter_map(|i| match i {
+                Item::Unreadable { name, .. } => Some(&**name),
+                _ => None,
+            })
+            .collect();
+        listed.sort_unstable();
+        self.unreadable
+            .retain(|name| listed.binary_search(&&**name).is_ok());
+    }
+
     fn apply_item(&mut self, item: Item, is_copy: bool) {
         match item {
             Item::Configuration(cfg) => self.router.apply(cfg),
             Item::Target(target) => self.insert(target, is_copy),
             Item::Unreadable { name, problem } => {
-                self.router.metrics.unreadable(self.topic.as_str());
-                warn!(self.router.log, "object not readable"; "topic" => self.topic.as_str(),
-                    "name" => &*name, "cause" => %problem);
+                if let Err(at) = self.unreadable.binary_search(&name) {
+                    self.router.metrics.unreadable(self.topic.as_str());
+                    warn!(self.router.log, "object not readable"; "topic" => self.topic.as_str(),
+                        "name" => &*name, "cause" => %problem);
+                    self.unreadable.insert(at, Arc::clone(&name));
+                }
                 if self.topic == Topic::Targets {
                     self.remove_now(&name);
                 }
--- a/crates/coriandercove_router/tests/sync.rs
+++ b/crates/coriandercove_router/tests/sync.rs
@@ -59,6 +59,16 @@
     }
 }
 
+fn odd(name: &str) -> Item {
+    Item::Unreadable {
+        name: name.into(),
+        problem: Malformed {
+            place: "Spec".to_owned(),
+            problem: "nested too deeply".to_owned(),
+        },
+    }
+}
+
 /// A store whose watches end as scripted; further ones time out without a change.
 struct Script {
     /// Version of the configuration, and store revision, that a list returns.
@@ -67,6 +77,8 @@
     watches: RefCell<Vec<Watch>>,
     /// Targets that a list returns.
     listed: RefCell<Vec<&'static str>>,
+    /// Names of objects in a list that cannot be decoded.
+    odd: RefCell<Vec<&'static str>>,
     /// Number of lists that were answered.
     lists: Cell<usize>,
     /// Whether every call fails.
@@ -92,7 +104,13 @@
         Box::pin(async move {
             match topic {
                 Topic::Configuration => Ok(batch(self.version.get())),
-                Topic::Targets => Ok(targets(self.version.get(), &self.listed.borrow())),
+                Topic::Targets => {
+                    let mut batch = targets(self.version.get(), &self.listed.borrow());
+                    batch
+                        .items
+                        .extend(self.odd.borrow().iter().map(|name| odd(name)));
+                    Ok(batch)
+                }
             }
         })
     }
@@ -144,6 +162,7 @@
         version: Cell::new(5),
         watches: RefCell::new(watches),
         listed: RefCell::new(vec!["t1", "t2"]),
+        odd: RefCell::default(),
         lists: Cell::new(0),
         is_down: Cell::new(false),
     });
@@ -245,3 +264,35 @@
     tokio::time::sleep(Duration::from_millis(1700)).await;
     assert_that!(is_listed(&entry, "t1"), eq(false));
 }
+
+/// Guards against a line for an odd object at each list, and against none for it when it comes back.
+#[actix_rt::test]
+async fn an_odd_object_is_reported_once_while_it_stands() {
+    let gone = || Watch::Fails(DirectoryError::HistoryGone);
+    let (entry, script) = start(Topic::Targets, (0..8).map(|_| gone()).collect()).await;
+    let reported = || {
+        let text = entry.router.metrics.registry.encode();
+        let counts = text.lines().filter_map(|l| {
+            l.strip_prefix("coriandercove_unreadable_objects_total{topic=\"targets\"} ")
+        });
+        counts.map(|n| n.parse::<u64>().unwrap()).sum::<u64>()
+    };
+    let lists = async |n: usize| {
+        let until = script.lists.get() + n;
+        while script.lists.get() < until {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    script.odd.borrow_mut().push("t3");
+    lists(3).await;
+    assert_that!(reported(), eq(1));
+    assert_that!(
+        is_listed(&entry, "t1") && !is_listed(&entry, "t3"),
+        eq(true)
+    );
+    script.odd.borrow_mut().clear();
+    lists(2).await;
+    script.odd.borrow_mut().push("t3");
+    lists(2).await;
+    assert_that!(reported(), eq(2));
+}
