Show that streams run at more targets than their routes allow

Users saw requests run on more servers than their routes allow while sound servers fall silent for a second and go on.

Engines that end, a proven end and the speed of leaving a dark engine hold, and must hold after the fix.

--- /dev/null
+++ b/crates/coriandercove_router/tests/silent_targets.rs
@@ -0,0 +1,140 @@
+//! Streams through engines that fall silent for a second and go on, which is no failure, and through
+//! engines that end.
+
+#![allow(
+    clippy::unwrap_used,
+    reason = "a test fails at the first unexpected value"
+)]
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+
+use support::engines::{EVENTS, Plan, Silence, listed, start};
+use support::{Entry, read_all, read_until};
+
+/// A silence of a sound engine.
+const SECOND: Duration = Duration::from_millis(1200);
+/// Time within which a stream is led away from an engine that went dark: half of the pause that the
+/// route allows, the time limit of a probe, and some time for the machine that runs the test.
+const MOVE_LIMIT: Duration = Duration::from_millis(100 + 250 + 100);
+
+const fn silent(part: Silence) -> Plan {
+    Plan {
+        silence: Some((part, SECOND)),
+        ends: false,
+    }
+}
+
+const ENDING: Plan = Plan {
+    silence: None,
+    ends: true,
+};
+
+fn headers(label: &str) -> String {
+    format!("label: {label}\r\nsize: 100,30\r\nconnection: close\r\n")
+}
+
+async fn answer(entry: &Entry, label: &str) -> String {
+    let mut caller = entry.request("/resumable/x", &headers(label)).await;
+    read_all(&mut caller).await
+}
+
+/// Checks that a caller got every event once and in order, and the end of the stream.
+fn expect_whole(answer: &str, case: &str) {
+    let ids: Vec<u32> = answer
+        .lines()
+        .filter_map(|l| l.strip_prefix("id: "))
+        .map(|id| id.parse().unwrap())
+        .collect();
+    assert_that!(ids, eq(&(1..=EVENTS).collect::<Vec<_>>()), "{case}");
+    assert_that!(answer, ends_with("0\r\n\r\n"), "{case}");
+}
+
+/// Guards against a request that runs at more targets than its route allows because silent ones were
+/// taken for lost.
+#[actix_rt::test]
+async fn streams_run_at_no_more_engines_than_their_route_allows() {
+    for part in [Silence::Head, Silence::FirstEvent, Silence::Midway] {
+        for max_attempts in [1, 2, 3] {
+            // Each engine falls silent as it answers, so that they do so one after the other.
+            let (entry, _engines, runs) = start(&[silent(part); 6], max_attempts).await;
+            let case = format!("{part:?}, {max_attempts} attempts");
+            let text = answer(&entry, "r").await;
+            let engines = runs.engines_of("r").len();
+            assert_that!(engines, le(max_attempts as usize), "{case}");
+            expect_whole(&text, &case);
+        }
+    }
+}
+
+/// Guards against the same when all engines fall silent together, under many streams.
+#[actix_rt::test]
+async fn streams_stay_within_their_attempts_while_all_engines_are_silent() {
+    let (entry, engines, runs) = start(&[silent(Silence::Midway); 6], 2).await;
+    let labels: Vec<String> = (0..12).map(|n| format!("r{n}")).collect();
+    let answers = labels.iter().map(|label| answer(&entry, label));
+    let answers = futures_util::future::join_all(answers).await;
+    for (label, text) in labels.iter().zip(&answers) {
+        assert_that!(runs.engines_of(label).len(), le(2), "{label}");
+        expect_whole(text, label);
+    }
+    drop(engines);
+}
+
+/// Guards against streams that stay with an engine which went dark.
+#[actix_rt::test]
+async fn a_stream_moves_away_from_a_dark_engine_as_fast_as_before() {
+    let (entry, engines, runs) = start(&[Plan::SOUND], 2).await;
+    let mut caller = entry.request("/resumable/x", &headers("r")).await;
+    let mut text = read_until(&mut caller, "id: 9\n").await;
+    let _queue = engines[0].go_dark().await;
+    let other = support::engines::Engine::start(1, Plan::SOUND, &runs).await;
+    entry.router.fleet.borrow_mut().insert(listed(&other, 1));
+    text.push_str(&read_all(&mut caller).await);
+    expect_whole(&text, "dark");
+    let moved = runs.all.borrow()[1].at;
+    let last_event = runs.first_silence.get().unwrap();
+    assert_that!(moved - last_event, lt(MOVE_LIMIT));
+}
+
+/// Guards against a stream that is given up although the engines that ran it are known to have ended.
+#[actix_rt::test]
+async fn engines_that_ended_do_not_count() {
+    let (entry, _engines, runs) = start(&[ENDING, ENDING, Plan::SOUND], 2).await;
+    let mut others = 0;
+    // Which engine is chosen first is left to chance.
+    for n in 0..3 {
+        let label = format!("r{n}");
+        expect_whole(&answer(&entry, &label).await, &label);
+        others += runs.engines_of(&label).len() - 1;
+    }
+    assert_that!(others, ge(1));
+}
+
+/// Guards against a stream that waits for a silent engine although it is known by then that another one
+/// which ran it has ended, or that this one has.
+#[actix_rt::test]
+async fn a_proven_end_gives_an_attempt_back() {
+    let (entry, engines, runs) = start(&[silent(Silence::Midway); 2], 2).await;
+    let began = Instant::now();
+    let mut caller = entry.request("/resumable/x", &headers("r")).await;
+    let mut text = read_until(&mut caller, "id: 2").await;
+    while runs.engines_of("r").len() < 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert_that!(began.elapsed(), lt(Duration::from_secs(5)));
+    }
+    let third = support::engines::Engine::start(2, Plan::SOUND, &runs).await;
+    entry.router.fleet.borrow_mut().insert(listed(&third, 1));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_that!(runs.engines_of("r").len(), eq(2));
+    // Both end while they are silent.
+    for engine in &engines {
+        engine.end();
+    }
+    text.push_str(&read_all(&mut caller).await);
+    expect_whole(&text, "after two ends");
+    assert_that!(runs.engines_of("r").len(), eq(3));
+}
--- /dev/null
+++ b/crates/coriandercove_router/tests/support/engines.rs
@@ -0,0 +1,265 @@
+//! Engines that hold a whole model, and that fall silent for a while and go on, or end.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_rt::task::JoinHandle;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+
+use coriandercove_router::fleet::{LayerRange, Target};
+use coriandercove_router::routes::{Accelerator, EngineModel, Service};
+
+use super::{Entry, is_probe, read_until, settings, write};
+
+/// Events of an answer, and the time between two of them.
+pub const EVENTS: u32 = 30;
+const EVENT_GAP: Duration = Duration::from_millis(50);
+/// Events before an engine falls silent or ends midway.
+const EVENTS_BEFORE: u32 = 9;
+/// Length of an engine's queue of connections.
+const BACKLOG: u32 = 64;
+/// Layers of the model.
+const LAYERS: u16 = 8;
+
+/// Part of an answer before which an engine falls silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Silence {
+    /// Before the head.
+    Head,
+    /// Between the head and the first event.
+    FirstEvent,
+    /// After some events.
+    Midway,
+}
+
+/// What an engine does after it has got its first request.
+#[derive(Debug, Clone, Copy)]
+pub struct Plan {
+    /// Where and for how long it falls silent; none if it does not.
+    pub silence: Option<(Silence, Duration)>,
+    /// Whether it ends after some events, instead of going on.
+    pub ends: bool,
+}
+
+impl Plan {
+    /// An engine that answers every request.
+    pub const SOUND: Self = Self {
+        silence: None,
+        ends: false,
+    };
+}
+
+/// A request that an engine began to run.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub at: Instant,
+    pub label: String,
+    /// Position of the engine.
+    pub engine: usize,
+}
+
+/// What happened at the engines of a test.
+#[derive(Default)]
+pub struct Runs {
+    pub all: RefCell<Vec<Run>>,
+    /// Time at which the first engine fell silent.
+    pub first_silence: Cell<Option<Instant>>,
+}
+
+impl Runs {
+    /// Positions of the engines that ran a request, sorted, without duplicates.
+    pub fn engines_of(&self, label: &str) -> Vec<usize> {
+        let all = self.all.borrow();
+        let of_label = all.iter().filter(|r| r.label == label);
+        let mut engines: Vec<usize> = of_label.map(|r| r.engine).collect();
+        engines.sort_unstable();
+        engines.dedup();
+        engines
+    }
+}
+
+/// An engine. While it is silent, it writes nothing and does not answer probes either.
+pub struct Engine {
+    pub address: SocketAddr,
+    position: usize,
+    plan: Cell<Plan>,
+    is_silent: watch::Sender<bool>,
+    connections: RefCell<Vec<JoinHandle<()>>>,
+    runs: Rc<Runs>,
+}
+
+impl Engine {
+    /// Starts an engine.
+    pub async fn start(position: usize, plan: Plan, runs: &Rc<Runs>) -> Rc<Self> {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let listener = socket.listen(BACKLOG).unwrap();
+        let engine = Rc::new(Self {
+            address: listener.local_addr().unwrap(),
+            position,
+            plan: Cell::new(plan),
+            is_silent: watch::Sender::new(false),
+            connections: RefCell::default(),
+            runs: Rc::clone(runs),
+        });
+        let accepting = actix_rt::spawn(Rc::clone(&engine).accept(listener));
+        engine.connections.borrow_mut().push(accepting);
+        engine
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let _ = self.is_silent.subscribe().wait_for(|silent| !silent).await;
+            let (stream, _) = listener.accept().await.unwrap();
+            let task = actix_rt::spawn(Rc::clone(&self).answer(stream));
+            self.connections.borrow_mut().push(task);
+        }
+    }
+
+    /// Closes the listener and all connections.
+    pub fn end(&self) {
+        for task in self.connections.borrow_mut().drain(..) {
+            task.abort();
+        }
+    }
+
+    /// Goes dark: it falls silent for good, and new connections to it hang. Returns the connections that
+    /// fill its queue, which must be kept.
+    pub async fn go_dark(&self) -> Vec<TcpStream> {
+        self.is_silent.send_replace(true);
+        self.runs.first_silence.set(Some(Instant::now()));
+        let mut queue = Vec::new();
+        loop {
+            let connected = TcpStream::connect(self.address);
+            match tokio::time::timeout(Duration::from_millis(20), connected).await {
+                Ok(stream) => queue.push(stream.unwrap()),
+                Err(_) => return queue,
+            }
+        }
+    }
+
+    /// Falls silent if the plan says so for this part of an answer, and waits until it goes on.
+    async fn pass(self: &Rc<Self>, part: Silence) {
+        let mut plan = self.plan.get();
+        if let Some((at, length)) = plan.silence
+            && at == part
+        {
+            plan.silence = None;
+            self.plan.set(plan);
+            self.is_silent.send_replace(true);
+            if self.runs.first_silence.get().is_none() {
+                self.runs.first_silence.set(Some(Instant::now()));
+            }
+            let engine = Rc::clone(self);
+            actix_rt::spawn(async move {
+                tokio::time::sleep(length).await;
+                engine.is_silent.send_replace(false);
+            });
+        }
+        // Fails only if the engine was dropped.
+        let _ = self.is_silent.subscribe().wait_for(|silent| !silent).await;
+    }
+
+    async fn answer(self: Rc<Self>, mut stream: TcpStream) {
+        let head = read_until(&mut stream, "\r\n\r\n").await;
+        if is_probe(&head) {
+            let _ = self.is_silent.subscribe().wait_for(|silent| !silent).await;
+            write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await;
+            return;
+        }
+        let field = |name: &str| {
+            let line = head.lines().find_map(|l| l.strip_prefix(name));
+            line.map_or("", |v| v.trim_start_matches(':').trim())
+                .to_owned()
+        };
+        let label = field("label");
+        self.runs.all.borrow_mut().push(Run {
+            at: Instant::now(),
+            label: label.clone(),
+            engine: self.position,
+        });
+        self.pass(Silence::Head).await;
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nstamp: 1\r\nlabel: {label}\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        write(&mut stream, &answer).await;
+        self.pass(Silence::FirstEvent).await;
+        let after: u32 = field("after").parse().unwrap_or(0);
+        for id in after + 1..=EVENTS {
+            if id == after + EVENTS_BEFORE {
+                self.pass(Silence::Midway).await;
+                if self.plan.get().ends {
+                    let engine = Rc::clone(&self);
+                    actix_rt::spawn(async move { engine.end() });
+                }
+            }
+            let _ = self.is_silent.subscribe().wait_for(|silent| !silent).await;
+            let event = format!("id: {id}\ndata: d\n\n");
+            write(&mut stream, &format!("{:x}\r\n{event}\r\n", event.len())).await;
+            tokio::time::sleep(EVENT_GAP).await;
+        }
+        write(&mut stream, "0\r\n\r\n").await;
+    }
+}
+
+fn model() -> EngineModel {
+    EngineModel {
+        layers: LAYERS,
+        layer_mb: 100.0,
+        kv_token_bytes: 1000.0,
+        step: Duration::from_millis(1),
+        step_per_sequence_ms: 0.0,
+        step_per_context_ms: 0.0,
+        prefill_per_ms: 100.0,
+        prefill_chunk: f64::INFINITY,
+        usual_prompt: 100.0,
+        usual_answer: 30.0,
+        activation_bytes: 1000.0,
+        zone_link_mbps: 1000.0,
+        zone_delays: Vec::new(),
+        accelerators: vec![Accelerator {
+            kind: "l4".into(),
+            memory_mb: 4000.0,
+            decode_factor: 1.0,
+            prefill_factor: 1.0,
+        }],
+    }
+}
+
+/// An engine as the platform lists it.
+pub fn listed(engine: &Engine, started_ms: u64) -> Arc<Target> {
+    Arc::new(Target {
+        id: format!("t{}", engine.position).into(),
+        service: "service".into(),
+        address: engine.address,
+        zone: "a".into(),
+        slots: 100,
+        is_draining: false,
+        started_ms,
+        warm_up: Duration::ZERO,
+        accelerator: "l4".into(),
+        layers: Some(LayerRange::new(0, LAYERS)),
+    })
+}
+
+/// An entry before engines of these plans, each of which holds the whole model.
+pub async fn start(plans: &[Plan], max_attempts: u32) -> (Entry, Vec<Rc<Engine>>, Rc<Runs>) {
+    let runs = Rc::new(Runs::default());
+    let service = Service {
+        name: "service".into(),
+        max_connections: 100,
+        engine: Some(model()),
+    };
+    let entry = Entry::start_service(settings(), service, max_attempts).await;
+    let mut engines = Vec::new();
+    for (position, plan) in plans.iter().enumerate() {
+        let engine = Engine::start(position, *plan, &runs).await;
+        entry.router.fleet.borrow_mut().insert(listed(&engine, 1));
+        engines.push(engine);
+    }
+    (entry, engines, runs)
+}
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -7,6 +7,7 @@
 )]
 
 pub mod cluster;
+pub mod engines;
 
 use std::cell::RefCell;
 use std::future::Future;
@@ -26,7 +27,8 @@
 use coriandercove_router::fleet::Target;
 use coriandercove_router::path::Hop;
 use coriandercove_router::protocol::{
-    AnswerFacts, CallerHead, Dispatch, Malformed, NamedLimit, PlacementOrder, Protocol, Report,
+    AnswerFacts, CallerHead, Dispatch, Malformed, ModelSize, NamedLimit, PlacementOrder, Protocol,
+    Report,
 };
 use coriandercove_router::routes::{ConfigurationBuilder, Repeat, Route, Service};
 use coriandercove_router::server::Server;
@@ -34,7 +36,7 @@
 use coriandercove_router::state::Router;
 
 /// Encoder and decoder with plain headers for tests; `parts` lists the shared parts of a prompt,
-/// `limit` is the limit that a target names in requests per 1000 seconds.
+/// `size` holds the tokens of a prompt and of its answer, and `limit` is the limit that a target names in requests per 1000 seconds.
 pub struct TestProtocol;
 
 const LABEL: &str = "label";
@@ -55,7 +57,14 @@
             key: text(headers, "key"),
             deadline: number("deadline").map(Duration::from_millis),
             resume_after: number("after"),
-            size: None,
+            size: text(headers, "size").map(|size| {
+                let (prompt, answer) = size.split_once(',').unwrap();
+                ModelSize {
+                    prompt: prompt.parse().unwrap(),
+                    max_answer: answer.parse().unwrap(),
+                    estimate: None,
+                }
+            }),
             shared_parts: text(headers, "parts").map_or_else(Vec::new, |parts| {
                 parts.split(',').map(|p| p.parse().unwrap()).collect()
             }),
@@ -150,7 +159,7 @@
     pub address: SocketAddr,
 }
 
-fn route(name: &str, repeat: Repeat) -> Route {
+fn route(name: &str, repeat: Repeat, max_attempts: u32) -> Route {
     Route {
         name: name.into(),
         host: "shop".into(),
@@ -161,7 +170,7 @@
         objective: Duration::from_millis(500),
         gap_objective: Some(Duration::from_millis(200)),
         priority: 1,
-        max_attempts: 2,
+        max_attempts,
         is_anonymous: true,
     }
 }
@@ -175,25 +184,14 @@
 
     /// As [`Self::start`], with other settings.
     pub async fn start_with(settings: Settings, targets: &[SocketAddr]) -> Self {
-        let router = Router::new(
-            settings,
-            Rc::new(TestProtocol),
-            telemetry::discard(),
-            rng::seeded(1),
-        );
-        let mut cfg = ConfigurationBuilder::new(1, 1);
-        cfg.route(route("safe", Repeat::Repeatable));
-        cfg.route(route("once", Repeat::AtMostOnce));
-        cfg.route(route("stream", Repeat::Stream));
-        cfg.route(route("resumable", Repeat::ResumableStream));
-        cfg.service(Service {
+        let service = Service {
             name: "service".into(),
             max_connections: 100,
             engine: None,
-        });
-        router.apply(Rc::new(cfg.build()));
+        };
+        let entry = Self::start_service(settings, service, 2).await;
         for (i, address) in targets.iter().enumerate() {
-            router.fleet.borrow_mut().insert(Arc::new(Target {
+            entry.router.fleet.borrow_mut().insert(Arc::new(Target {
                 id: format!("t{i}").into(),
                 service: "service".into(),
                 address: *address,
@@ -206,6 +204,24 @@
                 layers: None,
             }));
         }
+        entry
+    }
+
+    /// Starts an entry with the routes to a service without targets.
+    pub async fn start_service(settings: Settings, service: Service, max_attempts: u32) -> Self {
+        let router = Router::new(
+            settings,
+            Rc::new(TestProtocol),
+            telemetry::discard(),
+            rng::seeded(1),
+        );
+        let mut cfg = ConfigurationBuilder::new(1, 1);
+        cfg.route(route("safe", Repeat::Repeatable, max_attempts));
+        cfg.route(route("once", Repeat::AtMostOnce, max_attempts));
+        cfg.route(route("stream", Repeat::Stream, max_attempts));
+        cfg.route(route("resumable", Repeat::ResumableStream, max_attempts));
+        cfg.service(service);
+        router.apply(Rc::new(cfg.build()));
         let router = Rc::new(router);
         let server = Server::new(Rc::clone(&router));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
