Take only targets that are known to have ended out of a request's attempts

Callers' requests ran at three and more targets where their route allows one or two, while sound targets fell silent for a second and went on.

Cause: a suspicion was used as a fact. Two attempts at lost targets were free, and lost was what did not answer a probe or a connection attempt in time, or what was excluded for any reason.

Change: each attempt that may have run counts until its target is known to have ended: it broke the connection and nothing listens at its address, another incarnation is listed, or it is gone from the list and does not answer. The proof may come later and gives the run back. At the limit a stream waits for its silent target, and for the check of one that broke the connection. While another attempt begins, the silent one is read on, and whichever begins or goes on first is followed. An attempt whose head does not come is probed and left like a silent stream, if the route allows another. For the quarantine, too, only a refused connection shows that a target has ended.

--- a/crates/coriandercove_router/src/liveness.rs
+++ b/crates/coriandercove_router/src/liveness.rs
@@ -42,12 +42,17 @@
     }
 }
 
-/// Last event and last probe by target address.
+/// Time for which a refused connection is remembered; no request takes longer.
+const REFUSAL_LIFETIME: Duration = Duration::from_secs(30);
+
+/// Last event, last probe and last refused connection by target address.
 #[derive(Debug, Default)]
 pub struct Liveness {
     /// Time of the last event that arrived through each target.
     last_events: SortedMap<SocketAddr, Time>,
     probes: SortedMap<SocketAddr, Probe>,
+    /// Time at which a connection to each target was last refused.
+    refusals: SortedMap<SocketAddr, Time>,
 }
 
 impl Liveness {
@@ -122,6 +127,20 @@
         }
     }
 
+    /// Records that nothing listened at a target's address.
+    pub fn on_refused(&mut self, target: SocketAddr, now: Time) {
+        self.refusals.insert(target, now);
+    }
+
+    /// Whether a target that broke a connection at `broke_at` has ended: nothing listened at its address
+    /// then. A check is not repeated within [`MIN_PROBE_INTERVAL`], so that the refusal may have come
+    /// before the break was noticed.
+    #[must_use]
+    pub fn has_ended(&self, target: SocketAddr, sent_at: Time, broke_at: Time) -> bool {
+        let since = sent_at.max(broke_at.saturating_sub(MIN_PROBE_INTERVAL));
+        self.refusals.get(&target).is_some_and(|at| *at >= since)
+    }
+
     /// Whether a probe of the target that began at or after `since` failed.
     #[must_use]
     pub fn has_failed(&self, target: SocketAddr, since: Time) -> bool {
@@ -145,11 +164,14 @@
         self.probes.get(&target).is_some_and(|p| p.is_overdue(now))
     }
 
-    /// Drops events and probes that are older than `RECORD_LIFETIME`.
+    /// Drops events and probes that are older than `RECORD_LIFETIME`, and refusals that are older than
+    /// `REFUSAL_LIFETIME`.
     pub fn expire(&mut self, now: Time) {
         let is_fresh = |at: Time| now.saturating_sub(at) < RECORD_LIFETIME;
         self.last_events.retain(|_, at| is_fresh(*at));
         self.probes.retain(|_, p| is_fresh(p.began));
+        self.refusals
+            .retain(|_, at| now.saturating_sub(*at) < REFUSAL_LIFETIME);
     }
 }
 
--- a/crates/coriandercove_router/src/placer.rs
+++ b/crates/coriandercove_router/src/placer.rs
@@ -26,7 +26,7 @@
 use crate::routes::{Configuration, EngineModel, Service};
 use crate::state::Router;
 use crate::sync::pause_after;
-use crate::upstream::call;
+use crate::upstream::{ExchangeError, call};
 
 pub use placements::{Placement, Placements};
 
@@ -411,10 +411,10 @@
 async fn probe(router: Rc<Router>, address: SocketAddr) {
     let request = router.protocol.report_request();
     router.record_sent(address);
-    if call(address, request, PROBE_TIMEOUT).await.is_ok() {
-        router.liveness.borrow_mut().end_probe(address, true);
-    } else {
-        router.record_unreachable(address, "probe");
+    match call(address, request, PROBE_TIMEOUT).await {
+        Ok(_) => router.liveness.borrow_mut().end_probe(address, true),
+        Err(ExchangeError::Refused { .. }) => router.record_refused(address, "probe"),
+        Err(_) => router.record_unreachable(address, "probe"),
     }
 }
 
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -342,7 +342,7 @@
                 request.router.metrics.repeat(match failed.failure {
                     Failure::NotSent => "not_sent",
                     Failure::NotRun => "not_run",
-                    Failure::Unknown | Failure::TargetLost => "repeatable",
+                    Failure::Unknown => "repeatable",
                 });
             }
             Next::Stop(outcome) => {
--- a/crates/coriandercove_router/src/proxy/proxied_request.rs
+++ b/crates/coriandercove_router/src/proxy/proxied_request.rs
@@ -16,13 +16,13 @@
 
 use super::RefusalAnswer;
 use super::accounting::{MarksText, PathText, RequestGuard};
-use crate::attempt::{Attempts, Failure, Next, Outcome};
+use crate::attempt::{Attempts, Failure, Next, Outcome, Run};
 use crate::fair_share::Rank;
 use crate::path::{Bottleneck, Demand, Hop, NoPath};
 use crate::protocol::{CallerHead, Dispatch};
 use crate::quarantine::mark::Mark;
 use crate::refusal::Refusal;
-use crate::relay::Body;
+use crate::relay::{Body, RECHECK_INTERVAL, SILENCE_LIMIT, stall_limit};
 use crate::routes::{EngineModel, Route, Service};
 use crate::sse::Cursor;
 use crate::state::{InFlight, Router};
@@ -36,6 +36,8 @@
 /// more are sent. Further ones would miss their objective: a third one already waits for two
 /// others.
 const REQUESTS_PER_SLOT: u32 = 3;
+/// Time for which the check of a target that broke a connection is waited for.
+const PROOF_WAIT: Duration = Duration::from_millis(250);
 /// Timeout for the first hop to accept a changed path.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after the first event from which on an answer counts as well under way: its target has not
@@ -120,6 +122,8 @@
 struct Destination {
     target: TargetId,
     address: SocketAddr,
+    /// Start of the target's incarnation, in Unix milliseconds; 0 if not reported.
+    started_ms: u64,
     hops: Vec<Hop>,
     /// Expected time to the first event; zero for plain services.
     expected: Duration,
@@ -204,8 +208,26 @@
         }
         let (now, deadline) = (self.now(), self.deadline);
         let router = Rc::clone(&self.router);
+        self.attempts.on_failure(
+            failure,
+            now,
+            deadline,
+            |run| router.has_ended(run),
+            || router.try_take_repeat(),
+        )
+    }
+
+    /// Whether another attempt may begin while the attempts so far may still go on. Counts it against
+    /// the retry budget.
+    pub(crate) fn may_run_again(&mut self) -> bool {
+        !self.broke_again.get() && self.has_runs_left() && self.router.try_take_repeat()
+    }
+
+    /// Whether the route allows another run now.
+    pub(crate) fn has_runs_left(&mut self) -> bool {
+        let (now, deadline, router) = (self.now(), self.deadline, &self.router);
         self.attempts
-            .on_failure(failure, now, deadline, || router.try_take_repeat())
+            .may_run_again(now, deadline, |run| router.has_ended(run))
     }
 
     /// Records a failed attempt after which the request is not sent again, and returns what the caller
@@ -214,7 +236,9 @@
         if failure != Failure::NotSent {
             let (now, deadline) = (self.now(), self.deadline);
             // Without a repeat allowed, the outcome is all that this decides.
-            let _ = self.attempts.on_failure(failure, now, deadline, || false);
+            let _ = self
+                .attempts
+                .on_failure(failure, now, deadline, |_| false, || false);
         }
         Next::Stop(self.attempts.outcome())
     }
@@ -228,7 +252,7 @@
     /// each other late, so that no answer of an overloaded fleet would be in time. A request that has been sent before is continued
     /// even if that takes longer than its objective.
     fn first_event_limit(&self) -> Duration {
-        if self.attempts.sent == 0 {
+        if self.attempts.sent() == 0 {
             self.route.objective
         } else {
             self.deadline.saturating_sub(self.now())
@@ -253,14 +277,67 @@
         })
     }
 
+    /// Records a failed attempt beside one that goes on. Returns whether another one may follow.
+    pub(crate) fn on_failure_beside(&mut self, failure: Failure) -> bool {
+        let (now, deadline, router) = (self.now(), self.deadline, &self.router);
+        // The budget is asked when the next attempt begins.
+        let next =
+            self.attempts
+                .on_failure(failure, now, deadline, |run| router.has_ended(run), || true);
+        next == Next::Retry
+    }
+
+    /// Records that the target of an attempt broke the connection, and checks whether it has ended.
+    pub(crate) fn on_broken(&mut self, address: SocketAddr) {
+        let now = self.now();
+        self.attempts.on_broken(address, now);
+        crate::placer::probe_broken(&self.router, address);
+    }
+
+    /// Waits, at the limit of runs, for the checks of targets that broke the connection: those that have
+    /// ended do not count. Returns whether another attempt may begin.
+    pub(crate) async fn wait_for_proof(&mut self) -> bool {
+        let is_final = !self.route.repeat.is_repeatable() || self.broke_again.get();
+        if is_final || self.has_runs_left() {
+            return false;
+        }
+        let router = Rc::clone(&self.router);
+        let mut limit = std::pin::pin!(tokio::time::sleep(PROOF_WAIT));
+        loop {
+            let unreachable = router.target_unreachable.notified();
+            if self.has_runs_left() {
+                return self.may_run_again();
+            }
+            tokio::select! {
+                () = unreachable => {}
+                () = &mut limit => return false,
+            }
+        }
+    }
+
+    /// Whether an attempt whose answer has not begun is better made elsewhere: its target does not
+    /// answer a probe either, or has taken so long that a stream would count as stalled.
+    fn is_head_overdue(&mut self, address: SocketAddr, hops: &[Hop], sent_at: Time) -> bool {
+        let has_failed = self.router.liveness.borrow().has_failed(address, sent_at);
+        let is_stalled = self.now().saturating_sub(sent_at) >= stall_limit(&self.route);
+        if (has_failed || is_stalled) && self.has_runs_left() {
+            return true;
+        }
+        let addresses = hops.iter().map(|h| h.address);
+        crate::placer::probe_hops(&self.router, addresses, sent_at);
+        false
+    }
+
     /// Makes an attempt and waits for the head of its answer.
     pub(crate) async fn start(&mut self) -> Result<StartedAttempt, FailedAttempt> {
+        self.attempts.settle();
         if self.is_quarantined() {
             return Err(FailedAttempt::not_sent(Refusal::CrashingPart));
         }
         let Destination {
             target,
             address,
+            started_ms,
             hops,
             expected,
             in_flight,
@@ -293,27 +370,44 @@
             "account" => self.account.as_deref(), "target" => &*target, "first" => %address,
             "path" => PathText(&hops), "expected_ms" => expected.as_millis(),
             "left_ms" => time_left.as_millis(), "config" => self.version,
-            "attempt" => self.attempts.sent + 1, "parts" => MarksText(&self.marks));
+            "attempt" => self.attempts.sent() + 1, "parts" => MarksText(&self.marks));
         let router = Rc::clone(&self.router);
         router
             .liveness
             .borrow_mut()
             .begin_connect(address, self.now());
         let sent_at = self.now();
+        self.attempts.begin(Run {
+            target: Arc::clone(&target),
+            address,
+            started_ms,
+            sent_at,
+            broke_at: None,
+            has_ended: false,
+        });
         let exchange = send(address, request, || {
             router.liveness.borrow_mut().end_probe(address, true);
         });
-        let sent = tokio::time::timeout(time_left, exchange);
-        let sent = tokio::select! {
-            biased;
-            sent = sent => sent,
-            // Leaving the target before it begins the answer saves it.
-            () = router.wait_until_convicted(&self.marks) => {
-                return Err(FailedAttempt {
-                    failure: Failure::Unknown,
-                    reason: Refusal::CrashingPart,
-                });
+        let mut sent = std::pin::pin!(tokio::time::timeout(time_left, exchange));
+        let is_watched = !hops.is_empty() && self.route.repeat.is_repeatable();
+        let mut check_after = SILENCE_LIMIT;
+        let sent = loop {
+            tokio::select! {
+                biased;
+                sent = &mut sent => break sent,
+                // Leaving the target before it begins the answer saves it.
+                () = router.wait_until_convicted(&self.marks) => {
+                    return Err(FailedAttempt {
+                        failure: Failure::Unknown,
+                        reason: Refusal::CrashingPart,
+                    });
+                }
+                () = tokio::time::sleep(check_after), if is_watched => {}
             }
+            if self.is_head_overdue(address, &hops, sent_at) {
+                return Err(FailedAttempt::unknown());
+            }
+            check_after = RECHECK_INTERVAL;
         };
         match sent {
             Ok(Ok(exchange)) => {
@@ -328,7 +422,7 @@
     }
 
     fn exchange_failed(
-        &self,
+        &mut self,
         e: &ExchangeError,
         address: SocketAddr,
         hops: &[Hop],
@@ -337,10 +431,12 @@
         warn!(self.router.log, "attempt failed"; "req" => &*self.head.label,
             "first" => %address, "cause" => %e);
         let failure = match e {
-            ExchangeError::NotSent { .. } => Failure::NotSent,
+            ExchangeError::NotSent { .. } | ExchangeError::Refused { .. } => Failure::NotSent,
             ExchangeError::Broken { .. } | ExchangeError::TimedOut { .. } => Failure::Unknown,
         };
-        if failure == Failure::NotSent {
+        if matches!(e, ExchangeError::Refused { .. }) {
+            self.router.record_refused(address, "connection");
+        } else if failure == Failure::NotSent {
             self.router.record_unreachable(address, "connection");
         } else if hops.is_empty() {
             self.router.record_failure(address, "connection");
@@ -355,7 +451,9 @@
     }
 
     /// Records an attempt that broke before its answer was well under way.
-    pub(crate) fn record_broken(&self, address: SocketAddr, sent_at: Time) {
+    pub(crate) fn record_broken(&mut self, address: SocketAddr, sent_at: Time) {
+        let now = self.now();
+        self.attempts.on_broken(address, now);
         let label = &self.head.label;
         if self.router.has_ended_target(label) {
             self.broke_again.set(true);
@@ -457,6 +555,10 @@
             return Ok(Destination {
                 target: first.id.clone(),
                 address: first.address,
+                started_ms: {
+                    let fleet = self.router.fleet.borrow();
+                    fleet.get(&first.id).map_or(0, |t| t.started_ms)
+                },
                 expected: path.first_event,
                 in_flight,
                 hops: path.hops,
@@ -482,6 +584,7 @@
         Ok(Destination {
             target: target.id.clone(),
             address: target.address,
+            started_ms: target.started_ms,
             hops: Vec::new(),
             expected: Duration::ZERO,
             in_flight,
@@ -497,7 +600,7 @@
         }
         match self.router.rank(self.account_key(), engine) {
             Some(rank) => Ok(rank),
-            None if self.attempts.sent > 0 => Ok(Rank::default()),
+            None if self.attempts.sent() > 0 => Ok(Rank::default()),
             None => {
                 warn!(self.router.log, "account has its share"; "req" => &*self.head.label,
                     "account" => self.account.as_deref());
@@ -519,7 +622,7 @@
             "with_room" => bottleneck.with_room, "peers" => peers, "config" => self.version);
     }
 
-    pub(super) async fn finish(&self, started: StartedAttempt) -> FinishedAttempt {
+    pub(super) async fn finish(&mut self, started: StartedAttempt) -> FinishedAttempt {
         let status = started.exchange.head.status;
         if self.route.repeat.is_stream() && status.is_success() {
             return FinishedAttempt::Streaming(started);
--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -82,11 +82,11 @@
 
 /// Silence of a stream after which the hops of its path are probed, if its route allows longer
 /// pauses or none of its events has arrived. It is longer than the pauses of a busy chain.
-const SILENCE_LIMIT: Duration = Duration::from_millis(400);
+pub(crate) const SILENCE_LIMIT: Duration = Duration::from_millis(400);
 /// Share of the longest pause that a route allows after which the hops are probed.
 const EARLY_PROBE_SHARE: f64 = 0.5;
 /// Interval at which the silence is checked again while no probe is pending.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(300);
+pub(crate) const RECHECK_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Minimum time for which callers wait for the next event of a stream.
 const MIN_PATIENCE: Duration = Duration::from_secs(2);
@@ -100,26 +100,20 @@
 
 /// Time without progress after which a stream of this route counts as stalled, although bytes may
 /// arrive and its hops may answer probes. Sound streams pause for less, or their callers leave.
-fn stall_limit(route: &Route) -> Duration {
+pub(crate) fn stall_limit(route: &Route) -> Duration {
     let by_objective = route.objective * PATIENCE_OBJECTIVES;
     let by_pause = route.gap_objective.unwrap_or_default() * PATIENCE_PAUSES;
     let patience = MIN_PATIENCE.max(by_objective).max(by_pause);
     patience.mul_f64(STALLED_SHARE)
 }
 
+/// Causes of a broken stream by which the target, or the network, ended the connection.
+const CONNECTION_BROKE: &str = "connection";
+const CUT_SHORT: &str = "cut_short";
+
 /// Maximum number of path changes of one request after lost hops.
 const MAX_PATH_CHANGES: u32 = 3;
 
-/// Kind of failure of an attempt whose path lost this hop. Only the first hop is sent the request
-/// and runs it, so that only its loss is a [`Failure::TargetLost`], of which a few do not count
-/// against the request's limit of attempts.
-fn attempt_failure(lost: Option<LostHop>) -> Failure {
-    match lost {
-        Some(LostHop::First) => Failure::TargetLost,
-        Some(LostHop::Later) | None => Failure::Unknown,
-    }
-}
-
 /// Forwards the events of one request, over all attempts and paths.
 struct Relay {
     request: ProxiedRequest,
@@ -162,7 +156,7 @@
         match frame {
             // Trailers carry no data that is used.
             Some(Ok(frame)) => Self::Data(frame.into_data().unwrap_or_default()),
-            Some(Err(_)) => Self::Broken("connection"),
+            Some(Err(_)) => Self::Broken(CONNECTION_BROKE),
             None => Self::End,
         }
     }
@@ -227,7 +221,7 @@
                     self.finish();
                     return None;
                 }
-                Read::End => "cut_short",
+                Read::End => CUT_SHORT,
                 Read::Broken(cause) => cause,
                 Read::Silent => {
                     self.on_silence().await;
@@ -404,11 +398,9 @@
             RECHECK_INTERVAL
         });
         self.current = Some(current);
-        if lost.is_some() && self.may_switch_target {
-            let failure = attempt_failure(lost);
-            let next = self.request.on_failure(failure);
-            self.may_switch_target =
-                next == Next::Retry && self.start_elsewhere("silence").await.is_ok();
+        // At the limit of runs, the silent target is waited for, unless one is proved to have ended.
+        if lost.is_some() && self.may_switch_target && self.request.may_run_again() {
+            self.may_switch_target = self.start_beside_silent().await;
         }
     }
 
@@ -416,15 +408,78 @@
     /// stalled attempt goes on if no other one begins.
     async fn on_stall(&mut self) {
         self.last_progress = self.request.router.now();
-        let next = self.request.on_failure(Failure::Unknown);
-        self.may_switch_target =
-            next == Next::Retry && self.start_elsewhere("stalled").await.is_ok();
+        if self.request.may_run_again() {
+            self.may_switch_target = self.start_elsewhere("stalled").await.is_ok();
+        }
+    }
+
+    /// Starts another attempt beside that of a silent target, whose answer is read meanwhile. Whichever
+    /// begins or goes on first is followed, and the other one ends. Returns whether one of them did.
+    async fn start_beside_silent(&mut self) -> bool {
+        let Some(mut silent) = self.current.take() else {
+            return false;
+        };
+        self.request.router.metrics.continuation("silence");
+        let mut has_broken = false;
+        let first = {
+            let mut start = std::pin::pin!(self.request.start());
+            loop {
+                tokio::select! {
+                    biased;
+                    started = &mut start => break Err(started),
+                    frame = silent.exchange.body.frame(), if !has_broken => {
+                        match Read::from_frame(frame) {
+                            Read::Broken(_) => has_broken = true,
+                            read => break Ok(read),
+                        }
+                    }
+                }
+            }
+        };
+        if has_broken {
+            self.request.on_broken(silent.address);
+        } else {
+            self.current = Some(silent);
+        }
+        match first {
+            // The attempt that has just begun may run all the same, and counts.
+            Ok(read) => {
+                self.go_on_after_silence(read);
+                true
+            }
+            Err(Ok(started)) => match self.follow(started, "silence") {
+                Ok(()) => true,
+                Err(failure) => self.request.on_failure_beside(failure),
+            },
+            Err(Err(e)) => self.request.on_failure_beside(e.failure),
+        }
+    }
+
+    /// Goes on with the attempt that was silent.
+    fn go_on_after_silence(&mut self, read: Read) {
+        let request = &self.request;
+        request.router.metrics.continuation("went_on");
+        info!(request.router.log, "silent stream goes on"; "req" => &*request.head.label,
+            "after" => request.cursor.last());
+        self.on_bytes();
+        if let Read::Data(bytes) = read
+            && self.splitter.push(&bytes).is_err()
+        {
+            // The next read treats the stream as broken.
+            self.current = None;
+            self.splitter.clear();
+        }
     }
 
     /// Starts another attempt. The previous one ends once the answer of the new one has begun.
     async fn start_elsewhere(&mut self, cause: &'static str) -> Result<(), Failure> {
         self.request.router.metrics.continuation(cause);
         let started = self.request.start().await.map_err(|e| e.failure)?;
+        self.follow(started, cause)
+    }
+
+    /// Goes on with an attempt whose answer has begun.
+    fn follow(&mut self, started: StartedAttempt, cause: &'static str) -> Result<(), Failure> {
         if !started.exchange.head.status.is_success() {
             return Err(Failure::Unknown);
         }
@@ -451,19 +506,22 @@
             "first" => self.current.as_ref().map(|c| c.address.to_string()),
             "parts" => MarksText(&self.request.marks));
         let is_quarantined = self.request.is_quarantined();
-        let mut failure = match self.current.take() {
-            Some(lost) => {
-                if !lost.is_under_way() && !is_quarantined {
-                    self.request.record_broken(lost.address, lost.sent_at);
-                }
-                self.request.probe(&lost, self.last_bytes);
-                attempt_failure(self.request.excluded_hop(&lost))
+        if let Some(lost) = self.current.take() {
+            if !lost.is_under_way() && !is_quarantined {
+                self.request.record_broken(lost.address, lost.sent_at);
             }
-            None => Failure::Unknown,
-        };
+            if matches!(cause, CONNECTION_BROKE | CUT_SHORT) {
+                self.request.on_broken(lost.address);
+            }
+            self.request.probe(&lost, self.last_bytes);
+        }
+        let mut failure = Failure::Unknown;
         loop {
             let is_over = self.request.is_quarantined();
-            if is_over || self.request.on_failure(failure) != Next::Retry {
+            let may_repeat = !is_over
+                && (self.request.on_failure(failure) == Next::Retry
+                    || self.request.wait_for_proof().await);
+            if !may_repeat {
                 self.request.guard.complete();
                 self.log_end(cause);
                 return Err(BodyError::Broken);
@@ -510,7 +568,7 @@
                 "status" => 200, "events" => self.events, "ms" => took.as_millis(),
                 "first_event_ms" => self.first_event.map(|d| d.as_millis()),
                 "longest_pause_ms" => self.longest_pause.as_millis(),
-                "attempts" => self.request.attempts.sent + 1);
+                "attempts" => self.request.attempts.sent());
         } else {
             warn!(self.request.router.log, "stream broken off"; "req" => &*self.request.head.label,
                 "cause" => end, "events" => self.events, "ms" => took.as_millis());
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -13,6 +13,7 @@
 use coriandercove_base::rng::Rng;
 use coriandercove_base::{Clock, MonotonicClock, SortedMap, Time, ZoneId};
 
+use crate::attempt::Run;
 use crate::budget::RetryBudget;
 use crate::departures::{Departures, LeavingTarget};
 use crate::exclusions::Exclusions;
@@ -205,10 +206,33 @@
     pub fn record_unreachable(&self, target: SocketAddr, cause: &str) {
         self.liveness.borrow_mut().end_probe(target, false);
         self.record_failure(target, cause);
-        self.record_ended_target(target);
         self.target_unreachable.notify_waiters();
     }
 
+    /// Records a connection that was refused: nothing listens at the target's address.
+    pub fn record_refused(&self, target: SocketAddr, cause: &str) {
+        self.liveness.borrow_mut().on_refused(target, self.now());
+        self.record_ended_target(target);
+        self.record_unreachable(target, cause);
+    }
+
+    /// Whether the incarnation of a target that ran a request is known to have ended: nothing listened
+    /// at its address after it had broken the connection, another one was born, or it is gone from the
+    /// platform's list and does not answer either. One that is only silent may go on.
+    #[must_use]
+    pub fn has_ended(&self, run: &Run) -> bool {
+        let liveness = self.liveness.borrow();
+        let broke_at = run.broke_at;
+        if broke_at.is_some_and(|at| liveness.has_ended(run.address, run.sent_at, at)) {
+            return true;
+        }
+        let fleet = self.fleet.borrow();
+        match fleet.get(&run.target) {
+            Some(listed) => listed.started_ms > run.started_ms,
+            None => liveness.has_failed(run.address, run.sent_at),
+        }
+    }
+
     /// Records a success of a target, which ends its exclusion.
     pub fn record_success(&self, target: SocketAddr) {
         if self.exclusions.borrow_mut().on_success(target) {
--- a/crates/coriandercove_router/src/upstream.rs
+++ b/crates/coriandercove_router/src/upstream.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client connections to targets and to the platform.
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -31,6 +32,12 @@
         /// Address and cause.
         problem: String,
     },
+    /// Nothing listens at the address, so that no byte of the request was sent.
+    #[snafu(display("connection refused: {problem}"))]
+    Refused {
+        /// Address and cause.
+        problem: String,
+    },
     /// The exchange failed on an established connection; the request may have arrived.
     #[snafu(display("no complete answer: {problem}"))]
     Broken {
@@ -76,7 +83,14 @@
     let stream = tokio::time::timeout(limit, TcpStream::connect(to))
         .await
         .map_err(|_| not_sent(format!("{to}: no connection within {limit:?}")))?
-        .map_err(|e| not_sent(format!("{to}: {e}")))?;
+        .map_err(|e| {
+            let problem = format!("{to}: {e}");
+            if e.kind() == ErrorKind::ConnectionRefused {
+                ExchangeError::Refused { problem }
+            } else {
+                not_sent(problem)
+            }
+        })?;
     stream
         .set_nodelay(true)
         .map_err(|e| not_sent(format!("{to}: {e}")))?;
@@ -99,8 +113,8 @@
 /// established.
 ///
 /// # Errors
-/// [`ExchangeError::NotSent`] if the connection could not be established, otherwise
-/// [`ExchangeError::Broken`].
+/// [`ExchangeError::NotSent`] or [`ExchangeError::Refused`] if the connection could not be
+/// established, otherwise [`ExchangeError::Broken`].
 pub async fn send(
     to: SocketAddr,
     request: Request<Bytes>,
--- a/crates/coriandercove_router/tests/silent_targets.rs
+++ b/crates/coriandercove_router/tests/silent_targets.rs
@@ -8,13 +8,19 @@
 
 mod support;
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 
-use support::engines::{EVENTS, Plan, Silence, listed, start};
-use support::{Entry, read_all, read_until};
+use coriandercove_router::quarantine::mark::part_mark;
 
+use support::engines::{EVENT_GAP, EVENTS, Engine, Plan, Silence, listed, start};
+use support::{Entry, read_all, read_until, target, write};
+
+/// Part that all prompts share.
+const PART: u64 = 7;
 /// A silence of a sound engine.
 const SECOND: Duration = Duration::from_millis(1200);
 /// Time within which a stream is led away from an engine that went dark: half of the pause that the
@@ -34,7 +40,7 @@
 };
 
 fn headers(label: &str) -> String {
-    format!("label: {label}\r\nsize: 100,30\r\nconnection: close\r\n")
+    format!("label: {label}\r\nparts: {PART}\r\nsize: 100,30\r\nconnection: close\r\n")
 }
 
 async fn answer(entry: &Entry, label: &str) -> String {
@@ -57,17 +63,20 @@
 /// taken for lost.
 #[actix_rt::test]
 async fn streams_run_at_no_more_engines_than_their_route_allows() {
-    for part in [Silence::Head, Silence::FirstEvent, Silence::Midway] {
-        for max_attempts in [1, 2, 3] {
-            // Each engine falls silent as it answers, so that they do so one after the other.
-            let (entry, _engines, runs) = start(&[silent(part); 6], max_attempts).await;
-            let case = format!("{part:?}, {max_attempts} attempts");
-            let text = answer(&entry, "r").await;
-            let engines = runs.engines_of("r").len();
-            assert_that!(engines, le(max_attempts as usize), "{case}");
-            expect_whole(&text, &case);
-        }
-    }
+    let parts = [Silence::Head, Silence::FirstEvent, Silence::Midway];
+    let cases = parts
+        .into_iter()
+        .flat_map(|part| [1, 2, 3].map(|max| (part, max)));
+    let cases = cases.map(|(part, max_attempts)| async move {
+        // Each engine falls silent as it answers, so that they do so one after the other.
+        let (entry, _engines, runs) = start(&[silent(part); 6], max_attempts).await;
+        let case = format!("{part:?}, {max_attempts} attempts");
+        let text = answer(&entry, "r").await;
+        let engines = runs.engines_of("r").len();
+        assert_that!(engines, le(max_attempts as usize), "{case}");
+        expect_whole(&text, &case);
+    });
+    futures_util::future::join_all(cases).await;
 }
 
 /// Guards against the same when all engines fall silent together, under many streams.
@@ -81,9 +90,61 @@
         assert_that!(runs.engines_of(label).len(), le(2), "{label}");
         expect_whole(text, label);
     }
+    // A silence is no crash.
+    assert_that!(entry.router.convicted_mark(&[part_mark(PART)]), none());
     drop(engines);
 }
 
+/// Guards against a stream that waits for a second silent engine although the first one went on.
+#[actix_rt::test]
+async fn the_engine_that_goes_on_first_is_followed() {
+    let long = Plan {
+        silence: Some((Silence::Head, Duration::from_secs(5))),
+        ends: false,
+    };
+    let (entry, _engines, runs) = start(&[silent(Silence::Midway)], 2).await;
+    let began = Instant::now();
+    let mut caller = entry.request("/resumable/x", &headers("r")).await;
+    let mut text = read_until(&mut caller, "id: 5\n").await;
+    let other = Engine::start(1, long, &runs).await;
+    entry.router.fleet.borrow_mut().insert(listed(&other, 1));
+    text.push_str(&read_all(&mut caller).await);
+    expect_whole(&text, "went on");
+    assert_that!(runs.engines_of("r").len(), eq(2));
+    // The answer, the silence and half a second for the machine that runs the test.
+    let limit = EVENT_GAP * EVENTS + SECOND + Duration::from_millis(500);
+    assert_that!(began.elapsed(), lt(limit));
+}
+
+/// Guards against requests of plain services that run elsewhere because their target is silent.
+#[actix_rt::test]
+async fn plain_requests_wait_for_a_silent_target() {
+    for path in ["/safe/x", "/once/x"] {
+        let heads = Rc::new(Cell::new(0));
+        let mut addresses = Vec::new();
+        for _ in 0..3 {
+            let heads = Rc::clone(&heads);
+            let (address, _) = target(move |_, _, mut stream| {
+                heads.set(heads.get() + 1);
+                async move {
+                    tokio::time::sleep(SECOND).await;
+                    let answer =
+                        "HTTP/1.1 200 OK\r\nstamp: 1\r\nlabel: r\r\ncontent-length: 2\r\n\r\nok";
+                    write(&mut stream, answer).await;
+                }
+            })
+            .await;
+            addresses.push(address);
+        }
+        let entry = Entry::start(&addresses).await;
+        let mut caller = entry
+            .request(path, "label: r\r\nconnection: close\r\n")
+            .await;
+        assert_that!(read_all(&mut caller).await, ends_with("ok"));
+        assert_that!(heads.get(), eq(1));
+    }
+}
+
 /// Guards against streams that stay with an engine which went dark.
 #[actix_rt::test]
 async fn a_stream_moves_away_from_a_dark_engine_as_fast_as_before() {
@@ -91,7 +152,7 @@
     let mut caller = entry.request("/resumable/x", &headers("r")).await;
     let mut text = read_until(&mut caller, "id: 9\n").await;
     let _queue = engines[0].go_dark().await;
-    let other = support::engines::Engine::start(1, Plan::SOUND, &runs).await;
+    let other = Engine::start(1, Plan::SOUND, &runs).await;
     entry.router.fleet.borrow_mut().insert(listed(&other, 1));
     text.push_str(&read_all(&mut caller).await);
     expect_whole(&text, "dark");
@@ -126,7 +187,7 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
         assert_that!(began.elapsed(), lt(Duration::from_secs(5)));
     }
-    let third = support::engines::Engine::start(2, Plan::SOUND, &runs).await;
+    let third = Engine::start(2, Plan::SOUND, &runs).await;
     entry.router.fleet.borrow_mut().insert(listed(&third, 1));
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_that!(runs.engines_of("r").len(), eq(2));
--- a/crates/coriandercove_router/tests/support/engines.rs
+++ b/crates/coriandercove_router/tests/support/engines.rs
@@ -13,11 +13,11 @@
 use coriandercove_router::fleet::{LayerRange, Target};
 use coriandercove_router::routes::{Accelerator, EngineModel, Service};
 
-use super::{Entry, is_probe, read_until, settings, write};
+use super::{Entry, RouteLimits, is_probe, read_until, settings, write};
 
 /// Events of an answer, and the time between two of them.
 pub const EVENTS: u32 = 30;
-const EVENT_GAP: Duration = Duration::from_millis(50);
+pub const EVENT_GAP: Duration = Duration::from_millis(50);
 /// Events before an engine falls silent or ends midway.
 const EVENTS_BEFORE: u32 = 9;
 /// Length of an engine's queue of connections.
@@ -249,12 +249,16 @@
 /// An entry before engines of these plans, each of which holds the whole model.
 pub async fn start(plans: &[Plan], max_attempts: u32) -> (Entry, Vec<Rc<Engine>>, Rc<Runs>) {
     let runs = Rc::new(Runs::default());
+    let limits = RouteLimits {
+        max_attempts,
+        timeout: Duration::from_secs(8),
+    };
     let service = Service {
         name: "service".into(),
         max_connections: 100,
         engine: Some(model()),
     };
-    let entry = Entry::start_service(settings(), service, max_attempts).await;
+    let entry = Entry::start_service(settings(), service, limits).await;
     let mut engines = Vec::new();
     for (position, plan) in plans.iter().enumerate() {
         let engine = Engine::start(position, *plan, &runs).await;
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -159,18 +159,34 @@
     pub address: SocketAddr,
 }
 
-fn route(name: &str, repeat: Repeat, max_attempts: u32) -> Route {
+/// Limits of all routes of an entry.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteLimits {
+    pub max_attempts: u32,
+    pub timeout: Duration,
+}
+
+impl Default for RouteLimits {
+    fn default() -> Self {
+        Self {
+            max_attempts: 2,
+            timeout: Duration::from_secs(3),
+        }
+    }
+}
+
+fn route(name: &str, repeat: Repeat, limits: RouteLimits) -> Route {
     Route {
         name: name.into(),
         host: "shop".into(),
         path_prefix: format!("/{name}/").into(),
         split: vec![("service".into(), 1)],
         repeat,
-        timeout: Duration::from_secs(3),
+        timeout: limits.timeout,
         objective: Duration::from_millis(500),
         gap_objective: Some(Duration::from_millis(200)),
         priority: 1,
-        max_attempts,
+        max_attempts: limits.max_attempts,
         is_anonymous: true,
     }
 }
@@ -189,7 +205,7 @@
             max_connections: 100,
             engine: None,
         };
-        let entry = Self::start_service(settings, service, 2).await;
+        let entry = Self::start_service(settings, service, RouteLimits::default()).await;
         for (i, address) in targets.iter().enumerate() {
             entry.router.fleet.borrow_mut().insert(Arc::new(Target {
                 id: format!("t{i}").into(),
@@ -208,7 +224,7 @@
     }
 
     /// Starts an entry with the routes to a service without targets.
-    pub async fn start_service(settings: Settings, service: Service, max_attempts: u32) -> Self {
+    pub async fn start_service(settings: Settings, service: Service, limits: RouteLimits) -> Self {
         let router = Router::new(
             settings,
             Rc::new(TestProtocol),
@@ -216,10 +232,10 @@
             rng::seeded(1),
         );
         let mut cfg = ConfigurationBuilder::new(1, 1);
-        cfg.route(route("safe", Repeat::Repeatable, max_attempts));
-        cfg.route(route("once", Repeat::AtMostOnce, max_attempts));
-        cfg.route(route("stream", Repeat::Stream, max_attempts));
-        cfg.route(route("resumable", Repeat::ResumableStream, max_attempts));
+        cfg.route(route("safe", Repeat::Repeatable, limits));
+        cfg.route(route("once", Repeat::AtMostOnce, limits));
+        cfg.route(route("stream", Repeat::Stream, limits));
+        cfg.route(route("resumable", Repeat::ResumableStream, limits));
         cfg.service(service);
         router.apply(Rc::new(cfg.build()));
         let router = Rc::new(router);
