Turn requests away that come too late in a planned stop, instead of cutting them

Operators of a similar system reported it: requests that came late in the grace of a planned stop were taken and passed on, and cut at its end with no answer, among them requests that must not repeat.

Here a request whose body arrives slowly is complete late, on a connection that is kept open for it. Of 2 s and complete 1 s before the end, it was passed on and cut for all four kinds of routes. Requests that last longer than the grace were cut without an answer as well.

Change: once connections close after their current request, a request is taken only if its deadline is within the grace; others get 503, not run, with a retry delay of zero, as any other entry can serve them. 0.3 s before the end, requests whose answers have not begun get 504, or 503 if they have not been sent. Streams that have begun end visibly broken, as before. The times of a stop are a pure plan (stopping).

--- a/crates/coriandercove_router/src/lib.rs
+++ b/crates/coriandercove_router/src/lib.rs
@@ -14,7 +14,8 @@
 //! what targets in need take, [`pauses`] leaves alone those that asked for it, [`budget`] limits
 //! repeats, [`exclusions`] and [`liveness`] track failing and silent targets, [`departures`] tells what
 //! an older copy of the platform's list says of targets that have left, [`watch_timing`] spreads the
-//! watches of the platform's store so that silent connections are found, and [`quarantine`] keeps
+//! watches of the platform's store so that silent connections are found, [`stopping`] tells which
+//! requests a stopping entry still takes, and [`quarantine`] keeps
 //! prompts from targets that crash on a part of them.
 //! Time, randomness and observations are passed in.
 //!
@@ -54,6 +55,7 @@
 pub mod silent_connections;
 pub mod sse;
 pub mod state;
+pub mod stopping;
 pub mod sync;
 pub mod upstream;
 pub mod usage;
--- a/crates/coriandercove_router/src/process.rs
+++ b/crates/coriandercove_router/src/process.rs
@@ -20,21 +20,17 @@
 use crate::server::{Server, serve_status};
 use crate::settings::{Settings, SettingsError};
 use crate::state::Router;
+use crate::stopping::Stop;
 use crate::sync::follow;
 use crate::verdict_sync::{VerdictStore, VerdictSync};
 
-/// Time after SIGTERM in which the load balancer notices that this entry is not ready: two of its
-/// checks, and one more that may have been in progress.
-const READINESS_NOTICE: Duration = Duration::from_millis(2600);
-/// Share of the grace period that is reserved for the exit itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which open connections are checked during a stop.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
 /// Interval of the log lines that report omitted lines.
 const OMITTED_PERIOD: Duration = Duration::from_secs(5);
 
-/// Maximum wait at the stop for the reader of standard output; below [`EXIT_MARGIN`].
+/// Maximum wait at the stop for the reader of standard output; below the time that a stop leaves for the exit.
 const FLUSH_LIMIT: Duration = Duration::from_millis(200);
 
 /// Why an entry cannot start.
@@ -173,15 +169,19 @@
     }
 }
 
-async fn stop(router: &Router, server: &Server) {
-    let began = router.now();
-    let grace = router.live.get().grace.saturating_sub(EXIT_MARGIN);
-    router.is_stopping.set(true);
+/// Stops an entry: it is no longer ready, serves callers until the load balancer has noticed, and ends
+/// when all are answered or with its grace.
+pub async fn stop(router: &Router, server: &Server) {
+    let stop = Stop::new(router.now(), router.live.get().grace);
+    router.stop.set(Some(stop));
     info!(router.log, "stopping"; "connections" => server.open_connections(),
         "requests" => router.metrics.in_flight.get());
-    tokio::time::sleep(READINESS_NOTICE.min(grace / 2)).await;
+    tokio::time::sleep(stop.closes_at.saturating_sub(router.now())).await;
     server.close_gracefully();
-    while !server.is_drained() && router.now().saturating_sub(began) < grace {
+    while !server.is_drained() && router.now() < stop.ends_at {
+        if router.now() >= stop.gives_up_at {
+            router.giving_up.notify_waiters();
+        }
         tokio::time::sleep(STOP_POLL).await;
     }
     if server.open_connections() > 0 {
--- a/crates/coriandercove_router/src/proxy.rs
+++ b/crates/coriandercove_router/src/proxy.rs
@@ -17,7 +17,7 @@
 
 use coriandercove_base::{AccountId, Time};
 
-use crate::attempt::{Attempts, Failure, Next};
+use crate::attempt::{Attempts, Failure, Next, Outcome};
 use crate::protocol::{CallerHead, PromptPart};
 use crate::quarantine::mark::{Mark, RequestContent, is_request, part_mark, request_mark};
 use crate::refusal::{Refusal, retry_after};
@@ -203,6 +203,14 @@
         guard.complete();
         return Err(RefusalAnswer::quarantined(router, mark));
     }
+    if !router.takes_request(deadline) {
+        guard.complete();
+        // Any other entry can serve the caller at once.
+        return Err(RefusalAnswer::not_run_until(
+            Refusal::Stopping,
+            Duration::ZERO,
+        ));
+    }
     marks.push(mark);
     Ok(ProxiedRequest {
         router: Rc::clone(router),
@@ -300,8 +308,35 @@
     }
 }
 
-/// Makes attempts until one yields an answer or no further one is allowed.
+/// Makes attempts until one yields an answer, no further one is allowed, or the process ends.
 async fn run(mut request: ProxiedRequest) -> Result<Response<Body>, RefusalAnswer> {
+    let router = Rc::clone(&request.router);
+    tokio::select! {
+        biased;
+        () = router.giving_up.notified() => {}
+        attempted = make_attempts(&mut request) => {
+            return match attempted? {
+                Attempted::Answer(response) => Ok(response),
+                Attempted::Stream(started) => Ok(pass_stream(request, started)),
+            };
+        }
+    }
+    warn!(router.log, "given up at the end of the process"; "req" => &*request.head.label);
+    request.guard.complete();
+    Err(match request.attempts.outcome() {
+        Outcome::NotRun => RefusalAnswer::not_run(&router, Refusal::Stopping, None),
+        Outcome::Unknown => RefusalAnswer::final_answer(StatusCode::GATEWAY_TIMEOUT, "stopping"),
+    })
+}
+
+/// What the attempts of a request led to.
+enum Attempted {
+    Answer(Response<Body>),
+    /// A stream, to be forwarded as its events arrive.
+    Stream(StartedAttempt),
+}
+
+async fn make_attempts(request: &mut ProxiedRequest) -> Result<Attempted, RefusalAnswer> {
     // The last error answer of a target; the caller gets it if no further attempt yields an answer.
     let mut answered: Option<Response<Body>> = None;
     loop {
@@ -309,7 +344,7 @@
             Ok(started) => match request.finish(started).await {
                 FinishedAttempt::Answer(response) => {
                     request.guard.complete();
-                    return Ok(response);
+                    return Ok(Attempted::Answer(response));
                 }
                 FinishedAttempt::TargetFailure(response) => {
                     answered = Some(response);
@@ -317,7 +352,7 @@
                 }
                 FinishedAttempt::Broken => FailedAttempt::unknown(),
                 FinishedAttempt::Streaming(started) => {
-                    return Ok(pass_stream(request, started));
+                    return Ok(Attempted::Stream(started));
                 }
             },
             Err(failed) => failed,
@@ -348,7 +383,7 @@
             Next::Stop(outcome) => {
                 request.guard.complete();
                 if let Some(response) = answered {
-                    return Ok(response);
+                    return Ok(Attempted::Answer(response));
                 }
                 return Err(request.refusal(outcome, failed.reason));
             }
--- a/crates/coriandercove_router/src/refusal.rs
+++ b/crates/coriandercove_router/src/refusal.rs
@@ -27,6 +27,8 @@
     CrashingPart,
     /// The targets did not run the request and no further attempt is made.
     NotRun,
+    /// The process stops, and the request may last longer.
+    Stopping,
 }
 
 impl Refusal {
@@ -42,6 +44,7 @@
             Self::Deadline => "deadline",
             Self::CrashingPart => "crashing_part",
             Self::NotRun => "not_run",
+            Self::Stopping => "stopping",
         }
     }
 }
@@ -135,6 +138,8 @@
 /// together do not retry together.
 pub fn retry_after(reason: Refusal, wait: Duration, rng: &mut Rng) -> Duration {
     let mean = match reason {
+        // Any other entry can serve the caller at once.
+        Refusal::Stopping => return Duration::ZERO,
         Refusal::NoConfiguration => Duration::from_secs(1),
         Refusal::NoTarget => Duration::from_millis(1500),
         Refusal::Full
--- a/crates/coriandercove_router/src/server.rs
+++ b/crates/coriandercove_router/src/server.rs
@@ -18,6 +18,7 @@
 use crate::proxy;
 use crate::relay::Body;
 use crate::state::Router;
+use crate::stopping::FIRST_REQUEST_TIME;
 
 /// Bytes that hyper buffers for each connection; must hold the largest request head.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
@@ -26,8 +27,6 @@
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 /// Pause after a failed accept, so that exhausted descriptors do not cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Time after closing begins in which a connection without a request may still receive one.
-const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 /// File descriptors for each caller: its own connection and the one to the target.
 const DESCRIPTORS_PER_CALLER: usize = 2;
 /// File descriptors reserved for the store, peers, listeners and files.
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -38,6 +38,7 @@
 use crate::routes::{Configuration, EngineModel, Service};
 use crate::settings::{LiveSettings, Settings};
 use crate::silent_connections::SilentConnections;
+use crate::stopping::Stop;
 use crate::usage::{AccountKey, UsageTracker};
 
 /// State of a router, shared by all tasks of its thread.
@@ -94,8 +95,10 @@
     pub retry_budget: RefCell<RetryBudget>,
     /// Source of random numbers.
     pub rng: RefCell<Rng>,
-    /// Whether the process is stopping; callers should not be sent here any more.
-    pub is_stopping: Cell<bool>,
+    /// Times of the planned stop that is in progress; callers should not be sent here any more.
+    pub stop: Cell<Option<Stop>>,
+    /// Notified when requests whose answers have not begun must be given up, because the process ends.
+    pub giving_up: Notify,
 }
 
 impl Router {
@@ -134,7 +137,8 @@
             wait_estimator: RefCell::default(),
             retry_budget: RefCell::new(budget),
             rng: RefCell::new(rng),
-            is_stopping: Cell::new(false),
+            stop: Cell::new(None),
+            giving_up: Notify::new(),
         }
     }
 
@@ -188,7 +192,15 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let has_state = self.configuration.borrow().is_some() && !self.fleet.borrow().is_empty();
-        has_state && !self.is_stopping.get()
+        has_state && self.stop.get().is_none()
+    }
+
+    /// Whether a request that is complete now is taken. During a planned stop, those that may last longer
+    /// than the process are not.
+    #[must_use]
+    pub fn takes_request(&self, deadline: Time) -> bool {
+        let now = self.now();
+        self.stop.get().is_none_or(|stop| stop.takes(now, deadline))
     }
 
     /// Records a failure of a target, which excludes the target from new work for a while.
--- a/crates/coriandercove_router/tests/placer.rs
+++ b/crates/coriandercove_router/tests/placer.rs
@@ -16,6 +16,7 @@
 use coriandercove_router::fleet::{LayerRange, Target};
 use coriandercove_router::peers::Peers;
 use coriandercove_router::placer::{Placement, Placer};
+use coriandercove_router::stopping::Stop;
 use googletest::prelude::*;
 use tokio::net::UdpSocket;
 
@@ -46,7 +47,9 @@
     let entry = Entry::start(&[]).await;
     let router = Rc::clone(&entry.router);
     // A stopping entry gives no orders.
-    router.is_stopping.set(true);
+    router
+        .stop
+        .set(Some(Stop::new(router.now(), Duration::from_secs(8))));
     let target = Arc::new(engine());
     router.fleet.borrow_mut().insert(Arc::clone(&target));
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
@@ -77,7 +80,9 @@
 async fn targets_that_are_gone_are_forgotten() {
     let entry = Entry::start(&[]).await;
     let router = Rc::clone(&entry.router);
-    router.is_stopping.set(true);
+    router
+        .stop
+        .set(Some(Stop::new(router.now(), Duration::from_secs(8))));
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let timers = TimerService::start();
     let (peers, _sending) = Peers::start(Rc::clone(&router), socket, &timers);
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -200,12 +200,21 @@
 
     /// As [`Self::start`], with other settings.
     pub async fn start_with(settings: Settings, targets: &[SocketAddr]) -> Self {
+        Self::start_limited(settings, targets, RouteLimits::default()).await
+    }
+
+    /// As [`Self::start_with`], with other limits of the routes.
+    pub async fn start_limited(
+        settings: Settings,
+        targets: &[SocketAddr],
+        limits: RouteLimits,
+    ) -> Self {
         let service = Service {
             name: "service".into(),
             max_connections: 100,
             engine: None,
         };
-        let entry = Self::start_service(settings, service, RouteLimits::default()).await;
+        let entry = Self::start_service(settings, service, limits).await;
         for (i, address) in targets.iter().enumerate() {
             entry.router.fleet.borrow_mut().insert(Arc::new(Target {
                 id: format!("t{i}").into(),
