Count a silent stream that breaks as evidence like any other broken one

Reading the change again: a connection that broke while another attempt began was not recorded for the quarantine, and a target that had not stated its start before counted as born again once it did.

--- a/crates/coriandercove_router/src/relay.rs
+++ b/crates/coriandercove_router/src/relay.rs
@@ -437,7 +437,7 @@
             }
         };
         if has_broken {
-            self.request.on_broken(silent.address);
+            self.on_connection_lost(&silent);
         } else {
             self.current = Some(silent);
         }
@@ -493,6 +493,19 @@
         Ok(())
     }
 
+    /// Records that the target of an attempt broke the connection.
+    fn on_connection_lost(&mut self, lost: &StartedAttempt) {
+        self.record_broken(lost);
+        self.request.on_broken(lost.address);
+    }
+
+    /// Records an attempt that ended early as evidence for the quarantine.
+    fn record_broken(&mut self, lost: &StartedAttempt) {
+        if !lost.is_under_way() && !self.request.is_quarantined() {
+            self.request.record_broken(lost.address, lost.sent_at);
+        }
+    }
+
     async fn resume_elsewhere(&mut self, cause: &'static str) -> Result<(), BodyError> {
         self.splitter.clear();
         let now = self.request.router.now();
@@ -505,13 +518,11 @@
             "ms_since_sent" => since_sent,
             "first" => self.current.as_ref().map(|c| c.address.to_string()),
             "parts" => MarksText(&self.request.marks));
-        let is_quarantined = self.request.is_quarantined();
         if let Some(lost) = self.current.take() {
-            if !lost.is_under_way() && !is_quarantined {
-                self.request.record_broken(lost.address, lost.sent_at);
-            }
             if matches!(cause, CONNECTION_BROKE | CUT_SHORT) {
-                self.request.on_broken(lost.address);
+                self.on_connection_lost(&lost);
+            } else {
+                self.record_broken(&lost);
             }
             self.request.probe(&lost, self.last_bytes);
         }
--- a/crates/coriandercove_router/src/state.rs
+++ b/crates/coriandercove_router/src/state.rs
@@ -240,7 +240,7 @@
         }
         let fleet = self.fleet.borrow();
         match fleet.get(&run.target) {
-            Some(listed) => listed.started_ms > run.started_ms,
+            Some(listed) => run.started_ms > 0 && listed.started_ms > run.started_ms,
             None => liveness.has_failed(run.address, run.sent_at),
         }
     }
