--- a/crates/coriandercove_router/src/liveness.rs
+++ b/crates/coriandercove_router/src/liveness.rs
@@ -133,7 +133,7 @@
     }
 
     /// Whether a target that broke a connection at `broke_at` has ended: nothing listened at its address
-    /// then. A check is not repeated within [`MIN_PROBE_INTERVAL`], so that the refusal may have come
+    /// then. A check is not repeated within `MIN_PROBE_INTERVAL`, so that the refusal may have come
     /// before the break was noticed.
     #[must_use]
     pub fn has_ended(&self, target: SocketAddr, sent_at: Time, broke_at: Time) -> bool {
