--- a/crates/coriandercove_router/tests/silent_targets.rs
+++ b/crates/coriandercove_router/tests/silent_targets.rs
@@ -10,11 +10,17 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 
+use coriandercove_base::timer::TimerService;
+use coriandercove_router::fleet::{LayerRange, Target};
+use coriandercove_router::peers::Peers;
+use coriandercove_router::placer::Placer;
 use coriandercove_router::quarantine::mark::part_mark;
+use tokio::net::UdpSocket;
 
 use support::engines::{EVENT_GAP, EVENTS, Engine, Plan, Silence, listed, start};
 use support::{Entry, read_all, read_until, target, write};
@@ -199,3 +205,37 @@
     expect_whole(&text, "after two ends");
     assert_that!(runs.engines_of("r").len(), eq(3));
 }
+
+/// Guards against orders, and loads of weights, because the only engine with some layers is silent for a
+/// second. Once the platform lists it no more, its layers are placed elsewhere.
+#[actix_rt::test]
+async fn a_silent_second_costs_no_order() {
+    let (entry, engines, runs) = start(&[Plan::SOUND; 3], 2).await;
+    let router = Rc::clone(&entry.router);
+    let halves = [(0, 4), (4, 8), (0, 4)].map(|(first, end)| LayerRange::new(first, end));
+    for (engine, layers) in engines.iter().zip(halves) {
+        engine.layers.set(layers);
+        let target = Target {
+            accelerator: "half".into(),
+            ..Target::clone(&listed(engine, 1))
+        };
+        router.fleet.borrow_mut().insert(Arc::new(target));
+    }
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let timers = TimerService::start();
+    let (peers, _sending) = Peers::start(Rc::clone(&router), socket, &timers);
+    let _placing = Placer::start(Rc::clone(&router), peers, &timers);
+    // What the placer changes at first is done, and its reports have been read.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = runs.orders.get();
+    engines[1].pause(SECOND);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_that!(runs.orders.get(), eq(before));
+    engines[1].end();
+    router.fleet.borrow_mut().remove("t1");
+    let removed = Instant::now();
+    while runs.orders.get() == before {
+        assert_that!(removed.elapsed(), lt(Duration::from_secs(3)));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/coriandercove_router/tests/support/engines.rs
+++ b/crates/coriandercove_router/tests/support/engines.rs
@@ -66,6 +66,8 @@
 #[derive(Default)]
 pub struct Runs {
     pub all: RefCell<Vec<Run>>,
+    /// Number of orders to hold layers.
+    pub orders: Cell<usize>,
     /// Time at which the first engine fell silent.
     pub first_silence: Cell<Option<Instant>>,
 }
@@ -87,6 +89,8 @@
     pub address: SocketAddr,
     position: usize,
     plan: Cell<Plan>,
+    /// Layers that it reports.
+    pub layers: Cell<LayerRange>,
     is_silent: watch::Sender<bool>,
     connections: RefCell<Vec<JoinHandle<()>>>,
     runs: Rc<Runs>,
@@ -102,6 +106,7 @@
             address: listener.local_addr().unwrap(),
             position,
             plan: Cell::new(plan),
+            layers: Cell::new(LayerRange::new(0, LAYERS)),
             is_silent: watch::Sender::new(false),
             connections: RefCell::default(),
             runs: Rc::clone(runs),
@@ -127,6 +132,16 @@
         }
     }
 
+    /// Falls silent and goes on after `length`.
+    pub fn pause(self: &Rc<Self>, length: Duration) {
+        self.is_silent.send_replace(true);
+        let engine = Rc::clone(self);
+        actix_rt::spawn(async move {
+            tokio::time::sleep(length).await;
+            engine.is_silent.send_replace(false);
+        });
+    }
+
     /// Goes dark: it falls silent for good, and new connections to it hang. Returns the connections that
     /// fill its queue, which must be kept.
     pub async fn go_dark(&self) -> Vec<TcpStream> {
@@ -150,15 +165,10 @@
         {
             plan.silence = None;
             self.plan.set(plan);
-            self.is_silent.send_replace(true);
+            self.pause(length);
             if self.runs.first_silence.get().is_none() {
                 self.runs.first_silence.set(Some(Instant::now()));
             }
-            let engine = Rc::clone(self);
-            actix_rt::spawn(async move {
-                tokio::time::sleep(length).await;
-                engine.is_silent.send_replace(false);
-            });
         }
         // Fails only if the engine was dropped.
         let _ = self.is_silent.subscribe().wait_for(|silent| !silent).await;
@@ -168,7 +178,19 @@
         let head = read_until(&mut stream, "\r\n\r\n").await;
         if is_probe(&head) {
             let _ = self.is_silent.subscribe().wait_for(|silent| !silent).await;
-            write(&mut stream, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await;
+            let layers = self.layers.get().to_string();
+            let length = layers.len();
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{layers}");
+            write(&mut stream, &answer).await;
+            return;
+        }
+        if head.starts_with("GET / ") {
+            self.runs.orders.set(self.runs.orders.get() + 1);
+            write(
+                &mut stream,
+                "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n",
+            )
+            .await;
             return;
         }
         let field = |name: &str| {
@@ -221,12 +243,15 @@
         activation_bytes: 1000.0,
         zone_link_mbps: 1000.0,
         zone_delays: Vec::new(),
-        accelerators: vec![Accelerator {
-            kind: "l4".into(),
-            memory_mb: 4000.0,
-            decode_factor: 1.0,
-            prefill_factor: 1.0,
-        }],
+        // One kind holds the whole model, the other half of it.
+        accelerators: [("half", 500.0), ("l4", 4000.0)]
+            .map(|(kind, memory_mb)| Accelerator {
+                kind: kind.into(),
+                memory_mb,
+                decode_factor: 1.0,
+                prefill_factor: 1.0,
+            })
+            .into(),
     }
 }
 
@@ -242,7 +267,7 @@
         started_ms,
         warm_up: Duration::ZERO,
         accelerator: "l4".into(),
-        layers: Some(LayerRange::new(0, LAYERS)),
+        layers: Some(engine.layers.get()),
     })
 }
 
--- a/crates/coriandercove_router/tests/support/mod.rs
+++ b/crates/coriandercove_router/tests/support/mod.rs
@@ -24,7 +24,7 @@
 
 use coriandercove_base::telemetry::lines::LineLimits;
 use coriandercove_base::{rng, telemetry};
-use coriandercove_router::fleet::Target;
+use coriandercove_router::fleet::{LayerRange, Target};
 use coriandercove_router::path::Hop;
 use coriandercove_router::protocol::{
     AnswerFacts, CallerHead, Dispatch, Malformed, ModelSize, NamedLimit, PlacementOrder, Protocol,
@@ -35,8 +35,9 @@
 use coriandercove_router::settings::Settings;
 use coriandercove_router::state::Router;
 
-/// Encoder and decoder with plain headers for tests; `parts` lists the shared parts of a prompt,
-/// `size` holds the tokens of a prompt and of its answer, and `limit` is the limit that a target names in requests per 1000 seconds.
+/// Encoder and decoder with plain headers for tests. `parts` lists the shared parts of a prompt, `size`
+/// holds the tokens of a prompt and of its answer, and `limit` is the limit that a target names in
+/// requests per 1000 seconds. The body of a report is the range of layers.
 pub struct TestProtocol;
 
 const LABEL: &str = "label";
@@ -115,8 +116,15 @@
         request
     }
 
-    fn report(&self, _: &[u8]) -> Result<Report, Malformed> {
-        Ok(Report::default())
+    fn report(&self, body: &[u8]) -> Result<Report, Malformed> {
+        let text = std::str::from_utf8(body).unwrap();
+        let layers = text
+            .split_once('-')
+            .map(|(first, end)| LayerRange::new(first.parse().unwrap(), end.parse().unwrap()));
+        Ok(Report {
+            layers,
+            ..Report::default()
+        })
     }
 
     fn placement_request(&self, _: &PlacementOrder) -> Request<Bytes> {
