--- a/crates/coriandercove_router/tests/silent_targets.rs
+++ b/crates/coriandercove_router/tests/silent_targets.rs
@@ -36,13 +36,13 @@
 const fn silent(part: Silence) -> Plan {
     Plan {
         silence: Some((part, SECOND)),
-        ends: false,
+        ..Plan::SOUND
     }
 }
 
 const ENDING: Plan = Plan {
-    silence: None,
     ends: true,
+    ..Plan::SOUND
 };
 
 fn headers(label: &str) -> String {
@@ -106,7 +106,7 @@
 async fn the_engine_that_goes_on_first_is_followed() {
     let long = Plan {
         silence: Some((Silence::Head, Duration::from_secs(5))),
-        ends: false,
+        ..Plan::SOUND
     };
     let (entry, _engines, runs) = start(&[silent(Silence::Midway)], 2).await;
     let began = Instant::now();
@@ -122,6 +122,42 @@
     assert_that!(began.elapsed(), lt(limit));
 }
 
+/// Lists engines that hold the first and the second half of the model in turn.
+fn list_halves(entry: &Entry, engines: &[Rc<Engine>]) {
+    let halves = [(0, 4), (4, 8)].map(|(first, end)| LayerRange::new(first, end));
+    for (engine, layers) in engines.iter().zip(halves.into_iter().cycle()) {
+        engine.layers.set(layers);
+        let target = Target {
+            accelerator: "half".into(),
+            ..Target::clone(&listed(engine, 1))
+        };
+        entry.router.fleet.borrow_mut().insert(Arc::new(target));
+    }
+}
+
+/// Guards against further runs because the later hops of a path are silent for a second, while the
+/// first one waits for them.
+#[actix_rt::test]
+async fn silent_later_hops_cost_no_run_beyond_the_limit() {
+    let waiting = Plan {
+        answers_probes: true,
+        ..silent(Silence::Midway)
+    };
+    for max_attempts in [1, 2] {
+        let plans = [waiting, Plan::SOUND, waiting, Plan::SOUND];
+        let (entry, engines, runs) = start(&plans, max_attempts).await;
+        list_halves(&entry, &engines);
+        let mut caller = entry.request("/resumable/x", &headers("r")).await;
+        let mut text = read_until(&mut caller, "id: 9\n").await;
+        for later in [&engines[1], &engines[3]] {
+            later.pause(SECOND);
+        }
+        text.push_str(&read_all(&mut caller).await);
+        expect_whole(&text, "later hops");
+        assert_that!(runs.engines_of("r").len(), le(max_attempts as usize));
+    }
+}
+
 /// Guards against requests of plain services that run elsewhere because their target is silent.
 #[actix_rt::test]
 async fn plain_requests_wait_for_a_silent_target() {
@@ -212,15 +248,7 @@
 async fn a_silent_second_costs_no_order() {
     let (entry, engines, runs) = start(&[Plan::SOUND; 3], 2).await;
     let router = Rc::clone(&entry.router);
-    let halves = [(0, 4), (4, 8), (0, 4)].map(|(first, end)| LayerRange::new(first, end));
-    for (engine, layers) in engines.iter().zip(halves) {
-        engine.layers.set(layers);
-        let target = Target {
-            accelerator: "half".into(),
-            ..Target::clone(&listed(engine, 1))
-        };
-        router.fleet.borrow_mut().insert(Arc::new(target));
-    }
+    list_halves(&entry, &engines);
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let timers = TimerService::start();
     let (peers, _sending) = Peers::start(Rc::clone(&router), socket, &timers);
--- a/crates/coriandercove_router/tests/support/engines.rs
+++ b/crates/coriandercove_router/tests/support/engines.rs
@@ -41,6 +41,8 @@
 pub struct Plan {
     /// Where and for how long it falls silent; none if it does not.
     pub silence: Option<(Silence, Duration)>,
+    /// Whether it answers probes while it is silent, as one that waits for a later hop.
+    pub answers_probes: bool,
     /// Whether it ends after some events, instead of going on.
     pub ends: bool,
 }
@@ -49,6 +51,7 @@
     /// An engine that answers every request.
     pub const SOUND: Self = Self {
         silence: None,
+        answers_probes: false,
         ends: false,
     };
 }
@@ -118,7 +121,9 @@
 
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let _ = self.is_silent.subscribe().wait_for(|silent| !silent).await;
+            if !self.plan.get().answers_probes {
+                let _ = self.is_silent.subscribe().wait_for(|silent| !silent).await;
+            }
             let (stream, _) = listener.accept().await.unwrap();
             let task = actix_rt::spawn(Rc::clone(&self).answer(stream));
             self.connections.borrow_mut().push(task);
@@ -177,7 +182,9 @@
     async fn answer(self: Rc<Self>, mut stream: TcpStream) {
         let head = read_until(&mut stream, "\r\n\r\n").await;
         if is_probe(&head) {
-            let _ = self.is_silent.subscribe().wait_for(|silent| !silent).await;
+            if !self.plan.get().answers_probes {
+                let _ = self.is_silent.subscribe().wait_for(|silent| !silent).await;
+            }
             let layers = self.layers.get().to_string();
             let length = layers.len();
             let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{layers}");
