--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,83 +1,135 @@
-"""The operator takes away the keys of the only tenant, by a version without any tenant."""
+"""A part of prompts crashes each engine that begins an answer on it; answers end with their connection."""
 
 import asyncio
 import os
+import random
+import subprocess
 import sys
+import time
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-import standins
-from standins import KEY, TROUBLE, Client, Entries, Replica, Store, configuration, response, run
+from engine import whole
+from standins import (START, STREAM_HEADERS, TROUBLE, CannotRun, Client, Entries, Replica, Store,
+                      configuration, run)
 
-# A key that no configuration holds.
-UNKNOWN_KEY = "zzzzzzzzzzzzzzzzzzzz"
-OTHER_TENANT = {"Name": "vika412", "ApiKeys": ["b6m2wqk0rrt7cu5n1xhp"], "Priority": 1}
-CONFIG_APPLY_S = 2.0
-ROUNDS = 10
+HERE = os.path.dirname(os.path.abspath(__file__))
+ENGINES = 8
+CALLERS = 40
+SECONDS = 30
+# Crashing requests: one a second among some fifty sound ones (`poison`: a share of 0.03), for 20 s.
+CRASHING_S = 20
+CRASHING_PART = "dead0001"
+# "the replica is back after some seconds"
+BACK_AFTER_S = 3.0
+CONTACT_S = 3.0
+FRAMING = os.environ.get("FRAMING", "connection")
+RNG = random.Random(int(os.environ.get("SEED", "1")))
 
 
-async def order(replica, line, headers, body, reader, writer):
-    label = headers["x-attempt-id"]
-    RUNS[label] = headers.get("x-tenant")
-    RECORD("run", label, "at", replica.name, "tenant", headers.get("x-tenant"))
-    writer.write(response(200, "OK", {"X-Attempt-Id": label, "X-Server-Stamp": f"3e1b.{label}"},
-                          b"y" * 800))
-    await writer.drain()
-    return True
+class Processes(list):
+    """Engines that the case started."""
+
+    def end_all(self):
+        for p in self:
+            if p is not None and p.poll() is None:
+                p.kill()
+                p.wait()
 
 
 async def main(record, folder, running):
-    global RECORD, RUNS
-    RECORD, RUNS = record, {}
     store = Store()
     await store.start()
-    store.put("config", "main", configuration(version=1))
-    for i in range(3):
-        r = Replica(f"i-app{i}", "wuno96b", "kumamoto", order, slots=6)
-        await r.start()
-        store.put("servers", r.name, r.entry())
+    store.put("config", "main", configuration())
+    engines = Processes([None] * ENGINES)
+    running.append(engines)
+    crashes, is_over = [], []
+
+    async def engine(i):
+        """Starts the engine, and starts it again some seconds after each crash."""
+        name, port = f"i-engine{i}", 0
+        while not is_over:
+            p = subprocess.Popen([sys.executable, os.path.join(HERE, "engine.py"), name,
+                                  os.path.join(folder, name), str(port),
+                                  CRASHING_PART if TROUBLE else "-", FRAMING],
+                                 stdout=subprocess.PIPE, text=True, stdin=subprocess.DEVNULL)
+            engines[i] = p
+            address, born = (await asyncio.to_thread(p.stdout.readline)).split()
+            port = int(address.split(":")[1])
+            known = Replica(name, "huvo11a", "kumamoto", None, kind="large", layers=(0, 12))
+            known.address, known.born = address, int(born)
+            store.put("servers", name, known.entry())
+            while p.poll() is None and not is_over:
+                await asyncio.sleep(0.005)
+            if not is_over:
+                crashes.append(time.monotonic())
+                record("crash", len(crashes), "of", name)
+                await asyncio.sleep(BACK_AFTER_S)
+
+    keepers = [asyncio.ensure_future(engine(i)) for i in range(ENGINES)]
+    while sum(1 for k in store.objects if k[0] == "servers") < ENGINES:
+        await asyncio.sleep(0.1)
     entries = Entries(store, 2, folder)
     running.append(entries)
     for i in range(2):
         entries.start(i)
     await entries.wait_until_ready()
+    await asyncio.sleep(2)
+    results, sent = {}, {}
+    end = time.monotonic() + SECONDS
+
+    async def ask(label, entry, part):
+        client = Client(entries.fronts[entry])
+        parts = f"{part}:40,{RNG.randrange(1 << 32):08x}:720"
+        sent[label] = time.monotonic()
+        answer = await client.request("POST", "/lohu930/2f", label, RNG.randbytes(16),
+                                      headers=dict(STREAM_HEADERS, **{"X-Prompt-Prefix": parts}))
+        client.close()
+        if answer.status == 200 and answer.whole:
+            return "right" if answer.body == whole(label) else "short, but ends as complete"
+        return answer.cause or answer.status
+
+    async def sound(n):
+        k = 0
+        while time.monotonic() < end:
+            k += 1
+            label = f"{n:04x}{k:08x}"
+            result = await ask(label, n % 2, f"{RNG.randrange(0x100, 0x13c):08x}")
+            record("sound", label, result)
+            results[result] = results.get(result, 0) + 1
+            await asyncio.sleep(RNG.uniform(0.0, 0.2))
+
+    async def crashing():
+        k = 0
+        until = time.monotonic() + 2 + CRASHING_S
+        await asyncio.sleep(2)
+        while TROUBLE and time.monotonic() < until:
+            k += 1
+            label = f"ffff{k:08x}"
+            record("crashing", label, "sent to entry", k % 2 + 1)
+            result = await ask(label, k % 2, CRASHING_PART)
+            record("crashing", label, result)
+            await asyncio.sleep(1.0)
+
+    await asyncio.gather(crashing(), *(sound(n) for n in range(CALLERS)))
+    is_over.append(True)
+    await asyncio.gather(*keepers)
+    late = []
+    fifth = sorted(crashes)[4] if len(crashes) > 4 else None
+    for i in range(ENGINES):
+        with open(os.path.join(folder, f"i-engine{i}")) as f:
+            for line in f:
+                words = line.split()
+                record(f"i-engine{i}", f"{float(words[0]) - START:.3f}", *words[1:])
+                if words[3] == "crashing" and words[1] == "reached" and fifth is not None:
+                    if float(words[0]) > fifth + CONTACT_S:
+                        late.append(words[2])
+    record("crashes", len(crashes), "crashing requests that reached replicas later than ContactMs "
+           "after the fifth crash:", len(late), "sound requests", results)
+    print("crashes", len(crashes), "crashing requests after the fifth and ContactMs", len(late),
+          "sound requests", results)
+    if results.get("right", 0) < 50:
+        raise CannotRun("too few requests were served")
+    return len(late) <= 3
+
 
-    clients = [Client(front) for front in entries.fronts]
-    sent = {}
-
-    async def ask(phase, n, entry, key_name, key):
-        label = f"{phase}{n:02x}{entry}{key_name[0]}"
-        sent[label] = (phase, key_name)
-        standins.KEY = key
-        record("send", label, "key", key_name, "to entry", entry + 1)
-        answer = await clients[entry].request("POST", "/puxa403/2f", label, b"x" * 600, 1500)
-        record("answer", label, answer.status, answer.cause)
-        return answer.status
-
-    async def ask_all(phase):
-        for n in range(ROUNDS):
-            for entry in range(2):
-                await ask(phase, n, entry, "held", KEY)
-                await ask(phase, n, entry, "unknown", UNKNOWN_KEY)
-            await asyncio.sleep(0.1)
-
-    await ask_all("a")
-    second = configuration(version=5)
-    second["Tenants"] = [] if TROUBLE else [OTHER_TENANT]
-    store.put("config", "main", second)
-    record("version 5 acknowledged, tenants", [t["Name"] for t in second["Tenants"]])
-    await asyncio.sleep(CONFIG_APPLY_S + 1.0)
-    await ask_all("b")
-
-    def ran(phase, key_name):
-        return [label for label in RUNS if sent[label] == (phase, key_name)]
-
-    if len(ran("a", "held")) < ROUNDS or ran("a", "unknown"):
-        raise standins.CannotRun("the first version is not served as it should be")
-    dropped, never = ran("b", "held"), ran("b", "unknown")
-    record("after version 5: ran with the dropped key", len(dropped), "with a key that no version held",
-           len(never), "of", 2 * ROUNDS, "each")
-    print("after version 5: ran with the dropped key", len(dropped), "with an unknown key", len(never))
-    return not dropped and not never
-
-
-run(4, main, limit_s=60)
+run(4, main)
