Make the stand-ins of the review's cases 6 to 10 stricter

Cause: the stand-in engines took orders that name another replica and ignored the path of a request, so that a correct fix of case 9 would not have passed; listed entries never lapsed; cases 6 and 8 passed if nothing was served.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -155,12 +155,30 @@
         self.revision = 100
         # Replaced and set at each change.
         self.changed = asyncio.Event()
+        # Time of the last heartbeat by name.
+        self.heartbeats = {}
+        # Engines by address, which know what the other parts of a path hold.
+        self.engines = {}
+
+    def beat(self, name):
+        """Takes a heartbeat, in which only `Sequence` changes, so that it is no event."""
+        self.heartbeats[name] = time.monotonic()
+
+    async def expire(self):
+        """Removes replicas that have not written for three intervals."""
+        while True:
+            await asyncio.sleep(0.2)
+            oldest = time.monotonic() - 3 * HEARTBEAT_S
+            for kind, name in list(self.objects):
+                if kind == "servers" and self.heartbeats.get(name, 0) < oldest:
+                    await self.remove(kind, name)
 
     def wake(self):
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
     async def put(self, kind, name, spec):
+        self.beat(name)
         known = self.objects.get((kind, name))
         if known is not None and known["Spec"] == spec:
             return
@@ -260,6 +278,8 @@
         self.state = "ready"
         self.ran = []
         self.arrived = []
+        # Labels of the requests that run.
+        self.running = set()
 
     def entry(self):
         return {
@@ -277,6 +297,13 @@
     async def start(self):
         await self.listen()
         await self.register()
+        asyncio.get_running_loop().create_task(self.beat())
+
+    async def beat(self):
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            if self.server.is_serving() and ("servers", self.name) in self.store.objects:
+                self.store.beat(self.name)
 
     async def register(self):
         await self.store.put("servers", self.name, self.entry())
@@ -284,15 +311,26 @@
     async def serve(self, method, target, head, body, reader, writer):
         if target == "/api/report":
             return await self.report(writer)
-        if target == "/api/order":
-            return await self.order(json.loads(body), writer)
         label = head.get("x-attempt-id")
         if head.get("x-expected-replica") not in ("", self.name):
             return await self.not_run(writer, label, 421)
+        if target == "/api/order":
+            return await self.order(json.loads(body), writer)
         if not label:
             return await self.not_run(writer, label, 400)
+        refusal = self.refuse(head)
+        if refusal is not None:
+            return await self.not_run(writer, label, *refusal)
         self.arrived.append((self.record.now(), label))
-        return await self.run(label, target, head, body, writer)
+        self.running.add(label)
+        try:
+            return await self.run(label, target, head, body, writer)
+        finally:
+            self.running.discard(label)
+
+    def refuse(self, head):
+        """Status and headers with which a request is turned away that does not fit; none if it fits."""
+        return None
 
     async def not_run(self, writer, label, status, more=()):
         headers = [("X-Not-Executed", "1"), ("X-Replica-Id", self.name)] + list(more)
@@ -364,6 +402,26 @@
             "Layers": self.layer_list(),
         }
 
+    async def start(self):
+        await super().start()
+        self.store.engines[self.text()] = self
+
+    def check_path(self, path):
+        """Status and headers for a path that begins elsewhere or has a part that is not held."""
+        parts = [part.partition("=") for part in path.split(",")]
+        addresses = [address for address, _, _ in parts]
+        if addresses[0] != self.text() or len(parts) > 32 or len(set(addresses)) < len(parts):
+            return 400, []
+        for address, _, layers in parts:
+            first, _, end = layers.partition("-")
+            held = getattr(self.store.engines.get(address), "layers", None)
+            if held is None or int(first) < held[0] or int(end) > held[1]:
+                return 421, [("At-Server", address)]
+        return None
+
+    def refuse(self, head):
+        return self.check_path(head.get("x-hop-count", f"{self.text()}=0-80"))
+
     def layer_list(self):
         if self.layers is None:
             return []
@@ -399,7 +457,10 @@
 
     def begin_order(self, order):
         if order.get("Op") == "repath":
-            return 404
+            if order.get("Id") not in self.running:
+                return 404
+            refusal = self.check_path(order["Path"])
+            return 200 if refusal is None else {400: 400, 421: 409}[refusal[0]]
         if order.get("Op") != "place":
             return 400
         if self.is_busy or order.get("Expected", self.sequence) != self.sequence:
@@ -608,6 +669,7 @@
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun(f"{PROGRAM} is missing: run the build of the deploy file")
         await self.store.listen()
+        asyncio.get_running_loop().create_task(self.store.expire())
         await self.store.put("config", "main", configured)
         self.targets = targets(self.store)
         for target in self.targets:
@@ -628,6 +690,17 @@
             self.entries.append(entry)
             entry.start()
 
+    async def put_foreign(self, name, spec):
+        """Lists an entry of another writer, which writes it again at each interval."""
+
+        async def beat():
+            while True:
+                await asyncio.sleep(HEARTBEAT_S)
+                self.store.beat(name)
+
+        await self.store.put("servers", name, spec)
+        asyncio.get_running_loop().create_task(beat())
+
     async def wait_until_ready(self, limit_s=10):
         end = time.monotonic() + limit_s
         while time.monotonic() < end:
